--- /dev/null
+++ b/cmake/dependencies.cmake
@@ -0,0 +1,12 @@
+# Every library comes from a Debian package; tools/setup names them.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(CURL REQUIRED)
+find_package(OpenSSL REQUIRED)
+pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(POPT REQUIRED IMPORTED_TARGET popt)
+pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
+pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
+find_library(CIVETWEB_LIBRARY civetweb REQUIRED)
--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,28 @@
+# cyclamenmount_module(NAME SOURCES ... [LINK ...]): one static library per module folder.
+function(cyclamenmount_module name)
+  cmake_parse_arguments(MODULE "" "" "SOURCES;LINK" ${ARGN})
+  add_library(${name} STATIC ${MODULE_SOURCES})
+  target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+  target_compile_options(${name} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+  target_link_libraries(${name} PUBLIC ${MODULE_LINK})
+endfunction()
+
+# cyclamenmount_program(NAME SOURCES ... [LINK ...]): one executable.
+function(cyclamenmount_program name)
+  cmake_parse_arguments(PROGRAM "" "" "SOURCES;LINK" ${ARGN})
+  add_executable(${name} ${PROGRAM_SOURCES})
+  target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
+  target_compile_options(${name} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+  target_link_libraries(${name} PRIVATE ${PROGRAM_LINK})
+endfunction()
+
+# cyclamenmount_test(NAME SOURCES ... [LINK ...]): one CppUTest runner, registered with CTest.
+function(cyclamenmount_test name)
+  cmake_parse_arguments(TEST "" "" "SOURCES;LINK" ${ARGN})
+  cyclamenmount_program(${name} SOURCES ${PROJECT_SOURCE_DIR}/src/testing/main.cpp ${TEST_SOURCES}
+                                LINK ${TEST_LINK} PkgConfig::CPPUTEST)
+  target_compile_definitions(${name} PRIVATE
+      CYCLAMENMOUNT_SOURCE_DIR="${PROJECT_SOURCE_DIR}" CYCLAMENMOUNT_BINARY_DIR="${PROJECT_BINARY_DIR}")
+  add_test(NAME ${name} COMMAND ${name} -v)
+  set_tests_properties(${name} PROPERTIES TIMEOUT 240)
+endfunction()
