Shared types, events, effects and module interfaces

Cause: the parts are to be written side by side, so the data that passes between them comes first. One reducer over all events, effects as data; each coordination part has its own state and a reduce function; I/O modules turn effects into calls and answers into events.

--- /dev/null
+++ b/src/http_loop/http_loop.h
@@ -0,0 +1,47 @@
+//! One thread that carries out short HTTP exchanges with libcurl's multi interface.
+#pragma once
+
+#include "types/errors.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cyclamenmount {
+
+struct http_request {
+    std::string method{"GET"};
+    std::string url;
+    std::vector<std::string> headers;  //!< `Name: value`
+    std::string body;
+    milliseconds timeout{1500};  //!< for the whole exchange; a silent connection is dropped
+};
+
+struct http_response {
+    int status{0};
+    std::map<std::string, std::string> headers;  //!< names in lower case
+    std::string body;
+};
+
+class http_loop {
+public:
+    static result<std::unique_ptr<http_loop>> start();
+    ~http_loop();
+    http_loop(const http_loop&) = delete;
+    http_loop& operator=(const http_loop&) = delete;
+    http_loop(http_loop&&) = delete;
+    http_loop& operator=(http_loop&&) = delete;
+
+    //! Never blocks. `done` is called on the loop's thread, exactly once, at the latest when the loop
+    //! ends.
+    void submit(http_request request, std::function<void(result<http_response>)> done);
+
+private:
+    struct impl;
+    explicit http_loop(std::unique_ptr<impl> implementation);
+    std::unique_ptr<impl> impl_;
+};
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/types/time.h
@@ -0,0 +1,31 @@
+//! Time as the system reads it: a clock that goes on while the machine sleeps.
+#pragma once
+
+#include <chrono>
+#include <ctime>
+
+namespace cyclamenmount {
+
+using std::chrono::milliseconds;
+using namespace std::chrono_literals;
+
+//! CLOCK_BOOTTIME in milliseconds. Only I/O code reads it; reducers are given an instant.
+struct boot_clock {
+    using duration = milliseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock, duration>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept {
+        timespec value{};
+        clock_gettime(CLOCK_BOOTTIME, &value);
+        const auto since_boot =
+            std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec);
+        return time_point(std::chrono::duration_cast<duration>(since_boot));
+    }
+};
+
+using instant = boot_clock::time_point;
+
+}  // namespace cyclamenmount
