--- a/src/codec/codec.h
+++ b/src/codec/codec.h
@@ -3,10 +3,11 @@
 
 #include "types/effects.h"
 
-#include <nlohmann/json.hpp>
 #include <span>
 #include <string>
 
+#include <nlohmann/json.hpp>
+
 namespace cyclamenmount {
 
 //! MessagePack bytes of a message.
--- a/src/control/client.h
+++ b/src/control/client.h
@@ -19,8 +19,8 @@
     std::function<claim_reply(claim_request, milliseconds limit)> claim;
     std::function<result<edit_decided>(list_edit_wanted, milliseconds limit)> edit_list;
     std::function<result<edit_decided>(availability_wanted, milliseconds limit)> edit_availability;
-    std::function<bool()> ready;          //!< takes requests
-    std::function<std::string()> dump;    //!< the whole control state as JSON
+    std::function<bool()> ready;        //!< takes requests
+    std::function<std::string()> dump;  //!< the whole control state as JSON
 };
 
 }  // namespace cyclamenmount
--- a/src/coordination/documents/documents.h
+++ b/src/coordination/documents/documents.h
@@ -41,7 +41,7 @@
     object_version revision{0};
     std::uint64_t next_ticket{1};
     std::map<instance_id, known_versions> in_force;  //!< as peers told, for operators
-    std::map<std::string, instant> requested;  //!< last document_request by name
+    std::map<std::string, instant> requested;        //!< last document_request by name
 };
 
 documents_state make_documents(const environment& env, instant now);
--- a/src/coordination/once/once.h
+++ b/src/coordination/once/once.h
@@ -13,8 +13,8 @@
 
 once_state make_once();
 
-//! Handles `permit_wanted`, `permit_returned`, `call_ended` of this instance and the permit messages
-//! of its peers; decides with `permit_decided`.
+//! Handles `permit_wanted`, `permit_returned`, `call_ended` of this instance and the permit
+//! messages of its peers; decides with `permit_decided`.
 void reduce_once(once_state& state, const environment& env, const roster_state& roster,
                  const event& happened, instant now, effects& out);
 
--- a/src/coordination/registry/registry.h
+++ b/src/coordination/registry/registry.h
@@ -13,8 +13,8 @@
 
 registry_state make_registry();
 
-//! Handles `claim_wanted`, `stage_finished`, `claim_ended` of this instance and the claim messages of
-//! its peers; decides with `claim_decided`.
+//! Handles `claim_wanted`, `stage_finished`, `claim_ended` of this instance and the claim messages
+//! of its peers; decides with `claim_decided`.
 void reduce_registry(registry_state& state, const environment& env, const roster_state& roster,
                      const event& happened, instant now, effects& out);
 
--- a/src/coordination/roster/roster.h
+++ b/src/coordination/roster/roster.h
@@ -1,7 +1,7 @@
 //! Membership of the cell and the homes that follow from it.
 //!
-//! The home of a key is the highest rendezvous hash over the members of the active generation. A home
-//! acts only while it has heard a majority of that generation's members within the fence.
+//! The home of a key is the highest rendezvous hash over the members of the active generation. A
+//! home acts only while it has heard a majority of that generation's members within the fence.
 #pragma once
 
 #include "coordination/environment.h"
@@ -30,12 +30,12 @@
 //! Owned by the roster reducer; others use the functions below.
 struct roster_state {
     member self;
-    roster newest;                   //!< highest generation known, settled or not
+    roster newest;  //!< highest generation known, settled or not
     object_version newest_version{0};
-    roster previous;                 //!< the generation before `newest`; empty if not known
+    roster previous;  //!< the generation before `newest`; empty if not known
     std::map<instance_id, heard_peer> heard;
     std::map<instance_id, std::vector<sent_ping>> pings_in_flight;
-    std::vector<listed_instance> listed;  //!< entry instances as the platform's list shows them
+    std::vector<listed_instance> listed;     //!< entry instances as the platform's list shows them
     std::map<std::string, instant> dropped;  //!< ids that the list showed and has dropped since
     std::optional<instant> majority_acknowledged_at;
     std::uint64_t sequence{0};
@@ -71,7 +71,8 @@
 std::optional<member> home_of(const roster_state& state, std::string_view key);
 
 //! Member of rank `rank` for a key (0: the home), for work that a few instances share.
-std::optional<member> ranked_home(const roster_state& state, std::string_view key, std::size_t rank);
+std::optional<member> ranked_home(const roster_state& state, std::string_view key,
+                                  std::size_t rank);
 
 //! True while this instance may act as the home of `key`. To be asked at every act.
 bool may_act(const roster_state& state, const environment& env, std::string_view key, instant now);
--- a/src/coordination/slots/slots.h
+++ b/src/coordination/slots/slots.h
@@ -1,8 +1,8 @@
 //! Upstreams as this instance knows them, and the cold ones' slots at their homes.
 //!
 //! An upstream is presumed cold until its own report, read by its home, says warm. While it is cold
-//! only slots given by its home admit work, each bound to one attempt and its deadline, counted over
-//! all instances.
+//! only slots given by its home admit work, each bound to one attempt and its deadline, counted
+//! over all instances.
 #pragma once
 
 #include "coordination/documents/documents.h"
@@ -19,9 +19,9 @@
     std::string address;
     zone_name zone;
     bool listed_leaving{false};
-    upstream_report report;          //!< newest, from its home, a response or a poll
-    bool warm{false};                //!< declared warm by its home, for this incarnation
-    instant warm_heard_at;           //!< when its home last said so
+    upstream_report report;  //!< newest, from its home, a response or a poll
+    bool warm{false};        //!< declared warm by its home, for this incarnation
+    instant warm_heard_at;   //!< when its home last said so
     generation_number verdict_generation{0};
 };
 
@@ -43,7 +43,7 @@
 //! The home's book for one upstream.
 struct slot_book {
     tenure held;
-    bool ready{false};                       //!< holdings are known; slots may be given
+    bool ready{false};  //!< holdings are known; slots may be given
     instant ready_not_before;
     std::set<instance_id> not_yet_reported;  //!< members whose holdings aren't known
     std::map<attempt_id, slot> slots;
--- a/src/http_loop/http_loop.h
+++ b/src/http_loop/http_loop.h
@@ -34,8 +34,8 @@
     http_loop(http_loop&&) = delete;
     http_loop& operator=(http_loop&&) = delete;
 
-    //! Never blocks. `done` is called on the loop's thread, exactly once, at the latest when the loop
-    //! ends.
+    //! Never blocks. `done` is called on the loop's thread, exactly once, at the latest when the
+    //! loop ends.
     void submit(http_request request, std::function<void(result<http_response>)> done);
 
 private:
--- a/src/lists/lists.h
+++ b/src/lists/lists.h
@@ -13,8 +13,8 @@
 //! `[workspace NAME]` with `plan` and `key_sha256`. `file` only names the place of findings.
 checked<plan_list> parse_plans(std::string_view text, std::string_view file);
 
-//! `[plan NAME]` with `pipelines`, `services` (comma separated), `requests_per_second`, `concurrent`,
-//! `tokens_per_minute`, `priority`.
+//! `[plan NAME]` with `pipelines`, `services` (comma separated), `requests_per_second`,
+//! `concurrent`, `tokens_per_minute`, `priority`.
 checked<allowance_list> parse_allowances(std::string_view text, std::string_view file);
 
 //! Findings about workspaces whose plan has no allowance, and names the topology doesn't have.
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -13,8 +13,8 @@
 namespace cyclamenmount {
 
 struct peer_network_settings {
-    member self;             //!< its address is listened on
-    std::string secret;      //!< shared by all instances; proves membership of the fleet
+    member self;                 //!< its address is listened on
+    std::string secret;          //!< shared by all instances; proves membership of the fleet
     milliseconds silence{1500};  //!< a connection without progress for this long is replaced
 };
 
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -23,9 +23,8 @@
 //! Carries out the store effects on an `http_loop`; each answer is posted as one event.
 class platform_client {
 public:
-    static result<std::unique_ptr<platform_client>> start(platform_settings settings,
-                                                          http_loop& loop,
-                                                          std::function<void(event)> post);
+    static result<std::unique_ptr<platform_client>>
+    start(platform_settings settings, http_loop& loop, std::function<void(event)> post);
     ~platform_client();
     platform_client(const platform_client&) = delete;
     platform_client& operator=(const platform_client&) = delete;
--- a/src/routing/stage_times.h
+++ b/src/routing/stage_times.h
@@ -8,7 +8,8 @@
 
 namespace cyclamenmount {
 
-//! Log-spaced counts of durations up to about two minutes, halved now and then so that old ones fade.
+//! Log-spaced counts of durations up to about two minutes, halved now and then so that old ones
+//! fade.
 struct stage_times {
     static constexpr std::size_t buckets = 64;
     std::array<double, buckets> took{};
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -17,7 +17,7 @@
     stage_name stage;
     pool_name pool;
     int attempts{0};
-    milliseconds busy{0};    //!< as the upstreams told
+    milliseconds busy{0};  //!< as the upstreams told
     int tokens{0};
     milliseconds wasted{0};  //!< busy time of attempts whose result wasn't used
     int hedges{0};
--- a/src/types/configuration.h
+++ b/src/types/configuration.h
@@ -29,9 +29,9 @@
     std::set<pipeline_name> pipelines;
     std::set<pool_name> services;
     double requests_per_second{0};
-    int concurrent{0};             //!< requests running at once
+    int concurrent{0};  //!< requests running at once
     double tokens_per_minute{0};
-    int priority{1};               //!< 0 highest to 9
+    int priority{1};  //!< 0 highest to 9
 };
 
 //! The second list: what each plan may use.
@@ -49,10 +49,10 @@
 struct pool_settings {
     pool_name name;
     pool_kind kind{pool_kind::stage};
-    int capacity{8};       //!< concurrent attempts of one warm upstream
-    int cold_capacity{1};  //!< concurrent attempts of one cold upstream, over all instances
-    bool checks_fence{false};                //!< refuses orders with an older fencing number
-    std::set<std::string> idempotent;        //!< operations of a service that may be repeated
+    int capacity{8};           //!< concurrent attempts of one warm upstream
+    int cold_capacity{1};      //!< concurrent attempts of one cold upstream, over all instances
+    bool checks_fence{false};  //!< refuses orders with an older fencing number
+    std::set<std::string> idempotent;  //!< operations of a service that may be repeated
 };
 
 struct stage_settings {
@@ -73,20 +73,20 @@
 
 //! Periods and bounds of the coordination parts. Every instance of a fleet uses the same.
 struct timing_settings {
-    milliseconds tick{50};               //!< period of the tick event
-    milliseconds heartbeat{500};         //!< period of pings to every member
-    milliseconds fence{2000};            //!< a home acts only within this time of a heard majority
-    milliseconds fence_margin{300};      //!< added by a new home for clock rates
-    milliseconds suspect_after{3000};    //!< a silent member is proposed for removal
-    milliseconds start_window{500};      //!< a granted slot must be used within this time
-    milliseconds vouch{2500};            //!< older news of what is out counts as none
-    milliseconds share_period{1000};     //!< between two divisions of a limit
-    milliseconds share_lapse{3000};      //!< a share not renewed for this long lapses
-    milliseconds longest_attempt{60000}; //!< no attempt lasts longer
-    milliseconds watch_timeout{1500};    //!< a watch is asked anew after this time
-    milliseconds store_timeout{1500};    //!< a store call without an answer counts as unknown
-    milliseconds poll_period{500};       //!< between two status reads of an upstream by its home
-    milliseconds list_period{1000};      //!< between two reads of the instance list
+    milliseconds tick{50};                //!< period of the tick event
+    milliseconds heartbeat{500};          //!< period of pings to every member
+    milliseconds fence{2000};             //!< a home acts only within this time of a heard majority
+    milliseconds fence_margin{300};       //!< added by a new home for clock rates
+    milliseconds suspect_after{3000};     //!< a silent member is proposed for removal
+    milliseconds start_window{500};       //!< a granted slot must be used within this time
+    milliseconds vouch{2500};             //!< older news of what is out counts as none
+    milliseconds share_period{1000};      //!< between two divisions of a limit
+    milliseconds share_lapse{3000};       //!< a share not renewed for this long lapses
+    milliseconds longest_attempt{60000};  //!< no attempt lasts longer
+    milliseconds watch_timeout{1500};     //!< a watch is asked anew after this time
+    milliseconds store_timeout{1500};     //!< a store call without an answer counts as unknown
+    milliseconds poll_period{500};        //!< between two status reads of an upstream by its home
+    milliseconds list_period{1000};       //!< between two reads of the instance list
 };
 
 }  // namespace cyclamenmount
--- a/src/types/effects.h
+++ b/src/types/effects.h
@@ -72,7 +72,7 @@
     upstream_id upstream;
     std::string address;
     zone_name zone;
-    instant start_before;  //!< the first byte must leave before this
+    instant start_before;                 //!< the first byte must leave before this
     milliseconds expected_first_byte{0};  //!< p95 of the pool; 0 if unknown
 };
 
@@ -122,10 +122,10 @@
 //! This instance has left the roster and holds nothing; the process may end.
 struct drained {};
 
-using effect = std::variant<send_to_peer, store_read, store_write, watch_prefix, list_instances,
-                            poll_upstream, order_upstream, admission_decided, attempt_decided,
-                            attempt_cancelled, permit_decided, claim_decided, edit_decided,
-                            log_line, drained>;
+using effect =
+    std::variant<send_to_peer, store_read, store_write, watch_prefix, list_instances, poll_upstream,
+                 order_upstream, admission_decided, attempt_decided, attempt_cancelled,
+                 permit_decided, claim_decided, edit_decided, log_line, drained>;
 
 using effects = std::vector<effect>;
 
--- a/src/types/events.h
+++ b/src/types/events.h
@@ -58,9 +58,9 @@
 //! A caller's request, parsed.
 struct admission_wanted {
     ticket number{0};
-    std::string key_sha256;   //!< of the caller's key
-    pipeline_name pipeline;   //!< either pipeline
-    pool_name service;        //!< or service
+    std::string key_sha256;  //!< of the caller's key
+    pipeline_name pipeline;  //!< either pipeline
+    pool_name service;       //!< or service
     fingerprint body;
     milliseconds time_left{0};  //!< until the caller's deadline; 0: the pipeline's own
     int max_tokens{0};
@@ -82,7 +82,7 @@
     workspace_name workspace;
     stage_name stage;
     int priority{1};
-    std::uint64_t prefix_hash{0};  //!< of the prompt's start; 0: no affinity
+    std::uint64_t prefix_hash{0};       //!< of the prompt's start; 0: no affinity
     std::vector<upstream_id> excluded;  //!< tried already
     milliseconds time_left{0};
     bool restartable{false};  //!< may be cancelled and run elsewhere
@@ -102,9 +102,9 @@
     attempt_id attempt;
     upstream_id upstream;
     attempt_outcome outcome{attempt_outcome::ok};
-    upstream_report report;           //!< carried on the response; upstream empty if none
+    upstream_report report;  //!< carried on the response; upstream empty if none
     milliseconds took{0};
-    milliseconds first_token{0};      //!< 0 if none came
+    milliseconds first_token{0};  //!< 0 if none came
     int tokens{0};
 };
 
--- a/src/types/fleet.h
+++ b/src/types/fleet.h
@@ -24,7 +24,7 @@
     generation_number generation{0};  //!< 0: none known
     bool settled{false};              //!< the generation is active; the next may be proposed
     std::vector<member> members;      //!< sorted by id
-    std::string proposal;             //!< unique id of the write, to recognise it after a lost answer
+    std::string proposal;  //!< unique id of the write, to recognise it after a lost answer
 
     bool operator==(const roster&) const = default;
 };
@@ -34,7 +34,7 @@
     std::string id;
     std::string address;  //!< IP:PORT
     zone_name zone;
-    std::string role;     //!< `entry` for our own instances, else the pool
+    std::string role;  //!< `entry` for our own instances, else the pool
     bool leaving{false};
 
     bool operator==(const listed_instance&) const = default;
@@ -65,9 +65,9 @@
     std::string operation;  //!< unique id of the edit
     std::string who;
     std::string reason;
-    std::string what;             //!< one short sentence
-    std::int64_t at_ms{0};        //!< wall clock of the accepting instance, ms since the epoch
-    object_version base{0};       //!< the version that the operator had read
+    std::string what;        //!< one short sentence
+    std::int64_t at_ms{0};   //!< wall clock of the accepting instance, ms since the epoch
+    object_version base{0};  //!< the version that the operator had read
 
     bool operator==(const change_record&) const = default;
 };
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -116,8 +116,8 @@
 struct workspace_demand {
     workspace_name workspace;
     double requests_per_second{0};
-    int concurrent{0};   //!< wanted: running and refused in the last period
-    int running{0};      //!< running now
+    int concurrent{0};  //!< wanted: running and refused in the last period
+    int running{0};     //!< running now
     double tokens_per_minute{0};
 };
 
