--- a/src/codec/codec.h
+++ b/src/codec/codec.h
@@ -21,6 +21,6 @@
 result<event> event_from_json(const nlohmann::json& value);
 nlohmann::json effect_to_json(const effect& wanted);
 
-inline constexpr std::size_t max_message_bytes = 2 * 1024 * 1024;
+inline constexpr std::size_t max_message_bytes = std::size_t{2} * 1024 * 1024;
 
 }  // namespace cyclamenmount
