--- /dev/null
+++ b/src/telemetry/tests/metrics_tests.cpp
@@ -0,0 +1,63 @@
+#include "telemetry/metrics.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cyclamenmount;
+
+TEST_GROUP(metrics){};
+
+TEST(metrics, a_request_in_time_counts_for_its_target) {
+    // GIVEN one request within its deadline and one after it
+    metrics page;
+    request_record ended;
+    ended.workspace = workspace_name{"brecon"};
+    ended.target = "menu";
+    ended.took = milliseconds(900);
+    ended.deadline = milliseconds(5000);
+    ended.costs.push_back({stage_name{"encode"}, pool_name{"encoders"}, 2, milliseconds(30), 0,
+                           milliseconds(10), 1, 0, false});
+    page.record(ended);
+    ended.took = milliseconds(6000);
+    page.record(ended);
+
+    // WHEN the page is written
+    const auto text = page.page();
+
+    // THEN both count as requests, one as in time, and costs add up by stage
+    STRCMP_CONTAINS("cyclamenmount_requests_total{target=\"menu\",workspace=\"brecon\"} 2\n",
+                    text.c_str());
+    STRCMP_CONTAINS(
+        "cyclamenmount_requests_in_time_total{target=\"menu\",workspace=\"brecon\"} 1\n",
+        text.c_str());
+    STRCMP_CONTAINS("cyclamenmount_stage_attempts_total{target=\"menu\",stage=\"encode\","
+                    "workspace=\"brecon\"} 4\n",
+                    text.c_str());
+    STRCMP_CONTAINS("cyclamenmount_request_ms_count{target=\"menu\"} 2\n", text.c_str());
+}
+
+TEST(metrics, refusals_count_by_reason_and_execution) {
+    // GIVEN a refusal
+    metrics page;
+    request_record ended;
+    ended.target = "menu";
+    ended.refused = refusal{refusal_reason::rate_limited, execution::not_run, "", "", {}};
+    page.record(ended);
+
+    // THEN it is counted with both
+    STRCMP_CONTAINS("cyclamenmount_refusals_total{target=\"menu\",reason=\"rate_limited\","
+                    "execution=\"not_run\"} 1\n",
+                    page.page().c_str());
+}
+
+TEST(metrics, label_values_are_escaped) {
+    // GIVEN a target with a quote and a newline
+    metrics page;
+    request_record ended;
+    ended.target = "a\"b\nc";
+    page.record(ended);
+
+    // THEN the page stays one line a value
+    STRCMP_CONTAINS("target=\"a\\\"b c\"", page.page().c_str());
+}
