--- /dev/null
+++ b/src/http_server/http_server.cpp
@@ -0,0 +1,130 @@
+#include "http_server/http_server.h"
+
+#include <array>
+
+#include <civetweb.h>
+
+namespace cyclamenmount {
+
+namespace {
+
+constexpr const char* request_timeout_ms = "10000";
+
+struct context_stopper {
+    void operator()(mg_context* context) const {
+        mg_stop(context);
+    }
+};
+
+//! Reads the whole body; none if it is over the limit or breaks off.
+std::optional<std::string> read_body(mg_connection* connection, long long length,
+                                     std::size_t limit) {
+    std::string body;
+    std::array<char, 16384> chunk{};
+    if (length > static_cast<long long>(limit)) {
+        return std::nullopt;
+    }
+    while (body.size() <= limit) {
+        const int count = mg_read(connection, chunk.data(), chunk.size());
+        if (count <= 0) {
+            break;
+        }
+        body.append(chunk.data(), static_cast<std::size_t>(count));
+    }
+    const bool whole = length < 0 || body.size() == static_cast<std::size_t>(length);
+    if (body.size() > limit || !whole) {
+        return std::nullopt;
+    }
+    return body;
+}
+
+void write_answer(mg_connection* connection, const http_answer& answer) {
+    std::string head = "HTTP/1.1 " + std::to_string(answer.status) + ' ' +
+                       mg_get_response_code_text(connection, answer.status) + "\r\n";
+    head += "Content-Type: " + answer.content_type + "\r\n";
+    head += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+    head += "Connection: close\r\n";
+    for (const auto& [name, value] : answer.headers) {
+        head += name + ": " + value + "\r\n";
+    }
+    head += "\r\n";
+    mg_write(connection, head.data(), head.size());
+    mg_write(connection, answer.body.data(), answer.body.size());
+}
+
+}  // namespace
+
+struct http_server::impl {
+    std::function<http_answer(const http_call&)> handler;
+    std::size_t max_body{0};
+    std::unique_ptr<mg_context, context_stopper> context;
+
+    int serve(mg_connection* connection) const;
+};
+
+int http_server::impl::serve(mg_connection* connection) const {
+    const mg_request_info* const info = mg_get_request_info(connection);
+    auto body = read_body(connection, info->content_length, max_body);
+    http_answer answer;
+    if (!body.has_value()) {
+        answer = {413, "application/problem+json", {}, R"({"title":"body too large or cut off"})"};
+    } else {
+        http_call call;
+        call.method = info->request_method;
+        call.path = info->local_uri;
+        call.query = info->query_string == nullptr ? "" : info->query_string;
+        call.body = std::move(*body);
+        call.header = [connection](const char* name) -> std::optional<std::string> {
+            const char* const value = mg_get_header(connection, name);
+            return value == nullptr ? std::nullopt : std::make_optional<std::string>(value);
+        };
+        answer = handler(call);
+    }
+    write_answer(connection, answer);
+    return answer.status;
+}
+
+result<std::unique_ptr<http_server>>
+http_server::start(const http_server_settings& settings,
+                   std::function<http_answer(const http_call&)> handler) {
+    auto implementation = std::make_unique<impl>();
+    implementation->handler = std::move(handler);
+    implementation->max_body = settings.max_body;
+    const std::string threads = std::to_string(settings.threads);
+    const std::array<const char*, 11> options = {"listening_ports",
+                                                 settings.listen.c_str(),
+                                                 "num_threads",
+                                                 threads.c_str(),
+                                                 "request_timeout_ms",
+                                                 request_timeout_ms,
+                                                 "enable_keep_alive",
+                                                 "no",
+                                                 "decode_url",
+                                                 "no",
+                                                 nullptr};
+    mg_callbacks callbacks{};
+    callbacks.log_message = [](const mg_connection*, const char*) { return 1; };
+    implementation->context.reset(
+        mg_start(&callbacks, implementation.get(), const_cast<const char**>(options.data())));
+    if (implementation->context == nullptr) {
+        return error{error_kind::system, "can't listen on " + settings.listen};
+    }
+    mg_set_request_handler(
+        implementation->context.get(), "/",
+        [](mg_connection* connection, void* self) {
+            return static_cast<const impl*>(self)->serve(connection);
+        },
+        implementation.get());
+    return std::unique_ptr<http_server>(new http_server(std::move(implementation)));
+}
+
+http_server::http_server(std::unique_ptr<impl> implementation) : impl_(std::move(implementation)) {}
+
+http_server::~http_server() = default;
+
+int http_server::port() const {
+    mg_server_port bound{};
+    return mg_get_server_ports(impl_->context.get(), 1, &bound) == 1 ? bound.port : 0;
+}
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/http_server/http_server.h
@@ -0,0 +1,57 @@
+//! A CivetWeb server for calls with one request and one answer.
+#pragma once
+
+#include "types/errors.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cyclamenmount {
+
+struct http_call {
+    std::string method;
+    std::string path;
+    std::string query;
+    std::function<std::optional<std::string>(const char* name)> header;
+    std::string body;
+};
+
+struct http_answer {
+    int status{200};
+    std::string content_type{"application/json"};
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+struct http_server_settings {
+    std::string listen;  //!< IP:PORT
+    int threads{8};      //!< connections served at once
+    std::size_t max_body{std::size_t{1024} * 1024};
+};
+
+class http_server {
+public:
+    //! `handler` is called on the server's threads.
+    static result<std::unique_ptr<http_server>>
+    start(const http_server_settings& settings,
+          std::function<http_answer(const http_call&)> handler);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+
+    //! The port that was bound, also if the settings said 0.
+    [[nodiscard]] int port() const;
+
+private:
+    struct impl;
+    explicit http_server(std::unique_ptr<impl> implementation);
+    std::unique_ptr<impl> impl_;
+};
+
+}  // namespace cyclamenmount
