--- a/src/operators/status.cpp
+++ b/src/operators/status.cpp
@@ -98,8 +98,13 @@
     for (const auto& [id, versions] : state.documents.in_force) {
         peers[id.value] = describe(versions);
     }
+    json listed = json::array();
+    for (const auto& one : members(state.roster)) {
+        listed.push_back(one.id.value);
+    }
     return {{"self", state.env.self.id.value},
             {"versions", describe(versions_of(state))},
+            {"members", std::move(listed)},
             {"peers", std::move(peers)}};
 }
 
