Stand-in of upstreams: engines, stages and plain services

A state machine for cold, warm and fallen over, which counts for itself what must never happen: work above the cold capacity, work long after it was marked out or leaving, runs by key, orders with an older fence. Faults are chosen by a text in the input; all but the crash show once a request.

--- a/standins/common/exchange.cpp
+++ b/standins/common/exchange.cpp
@@ -150,12 +150,20 @@
     mg_disable_connection_keep_alive(connection_);
 }
 
-bool exchange::peer_gone() {
+int exchange::socket() {
     if (!socket_.has_value()) {
         socket_ = find_socket(connection_);
     }
-    pollfd watched{*socket_, POLLRDHUP, 0};
-    return *socket_ >= 0 && poll(&watched, 1, 0) > 0 &&
+    return *socket_;
+}
+
+bool exchange::peer_gone() {
+    return is_closed(socket());
+}
+
+bool is_closed(int socket) {
+    pollfd watched{socket, POLLRDHUP, 0};
+    return socket >= 0 && poll(&watched, 1, 0) > 0 &&
            (watched.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
--- a/standins/common/exchange.h
+++ b/standins/common/exchange.h
@@ -28,6 +28,9 @@
 //! Number in a query parameter or header text; `otherwise` if absent or malformed.
 long long number_or(const std::optional<std::string>& text, long long otherwise);
 
+//! True if the other end of this socket has closed.
+bool is_closed(int socket);
+
 class exchange {
 public:
     explicit exchange(mg_connection* connection);
@@ -49,6 +52,9 @@
     //! The connection closes without a further byte.
     void abandon();
 
+    //! The connection's descriptor, valid until the handler returns; -1 if unknown.
+    [[nodiscard]] int socket();
+
     //! True once the client has closed its end.
     [[nodiscard]] bool peer_gone();
 
--- /dev/null
+++ b/standins/upstream/attempt_handlers.cpp
@@ -0,0 +1,381 @@
+#include "standins/upstream/shared_state.h"
+#include "standins/upstream/work_text.h"
+
+#include <thread>
+
+namespace cyclamenmount::standins {
+
+namespace {
+
+constexpr milliseconds check_period{20};
+constexpr milliseconds lateness{2000};
+constexpr milliseconds longest_silence{60000};
+constexpr milliseconds longest_queue_wait{2000};
+constexpr int cold_slowdown = 2;
+constexpr int cached_speedup = 4;
+constexpr int default_tokens = 16;
+constexpr int max_tokens = 4096;
+constexpr int duplicate_every = 3;
+constexpr int lowest_priority = 9;
+
+//! One attempt that is running here.
+struct attempt {
+    std::uint64_t number{0};
+    std::uint64_t epoch{0};
+    arriving_work work;
+    std::string stage;
+    std::string input;
+    shown_faults faults;
+    attempt_key other;  //!< ids of other work, for a misdirected answer
+    instant began;
+};
+
+enum class pause_end { elapsed, ended };
+
+arriving_work read_work(exchange& current) {
+    const incoming_request& request = current.request();
+    arriving_work work;
+    work.key = {header_of(request, "x-request-id"), header_of(request, "x-attempt")};
+    work.idempotency_key = header_of(request, "idempotency-key");
+    work.from_zone = header_of(request, "x-from-zone");
+    work.socket = current.socket();
+    return work;
+}
+
+std::vector<std::string> echo_headers(shared_state& shared, const attempt_key& key,
+                                      const std::string& stage) {
+    const std::lock_guard lock(shared.mutex);
+    refresh(shared.machine, boot_clock::now());
+    return {"X-Request-Id: " + key.request, "X-Stage: " + stage, "X-Attempt: " + key.attempt,
+            load_header(shared.machine)};
+}
+
+void refuse(shared_state& shared, exchange& current, const arriving_work& work) {
+    const std::string stage = header_of(current.request(), "x-stage");
+    std::vector<std::string> headers = echo_headers(shared, work.key, stage);
+    headers.emplace_back("Content-Type: application/json");
+    current.respond(503, headers, R"({"execution":"not_run"})");
+}
+
+void delay_across_zones(const shared_state& shared, const arriving_work& work) {
+    const upstream_settings& settings = shared.machine.settings;
+    if (!work.from_zone.empty() && work.from_zone != settings.zone) {
+        std::this_thread::sleep_for(settings.zone_delay);
+    }
+}
+
+bool may_start_queued(const shared_state& shared, const queue_place& place) {
+    const upstream_machine& machine = shared.machine;
+    return in_flight(machine) < machine.settings.capacity && *shared.waiting.begin() == place;
+}
+
+//! Waits for a place of a full engine; true if work may start.
+bool wait_in_queue(shared_state& shared, std::unique_lock<std::mutex>& lock, int priority) {
+    upstream_machine& machine = shared.machine;
+    const auto places = static_cast<std::size_t>(machine.settings.queue);
+    if (machine.settings.kind != upstream_kind::engine || shared.waiting.size() >= places) {
+        return false;
+    }
+    const queue_place place{priority, shared.next_place++};
+    shared.waiting.insert(place);
+    const std::uint64_t epoch = machine.epoch;
+    shared.changed.wait_for(lock, longest_queue_wait, [&] {
+        drop_gone(machine, is_closed);
+        return shared.stopping || machine.epoch != epoch || !machine.warm ||
+               may_start_queued(shared, place);
+    });
+    const bool may_start = !shared.stopping && machine.epoch == epoch && machine.warm &&
+                           may_start_queued(shared, place);
+    shared.waiting.erase(place);
+    shared.changed.notify_all();
+    return may_start;
+}
+
+attempt begin(shared_state& shared, const arriving_work& work, std::string input) {
+    upstream_machine& machine = shared.machine;
+    attempt started;
+    const bool first = !machine.truth.runs_by_request.contains(work.key.request);
+    started.faults = choose_faults(machine.behaviour.faults, input, first);
+    started.other = std::exchange(machine.last_seen, work.key);
+    if (started.other.request.empty() || started.other.request == work.key.request) {
+        started.other = {"other-" + work.key.request, "other-" + work.key.attempt};
+    }
+    started.work = work;
+    started.input = std::move(input);
+    started.epoch = machine.epoch;
+    started.began = boot_clock::now();
+    started.number = start_work(machine, work, started.began);
+    return started;
+}
+
+//! Starts the work, or answers why not.
+std::optional<attempt> admit(shared_state& shared, exchange& current, std::string input) {
+    const arriving_work work = read_work(current);
+    delay_across_zones(shared, work);
+    std::unique_lock lock(shared.mutex);
+    upstream_machine& machine = shared.machine;
+    judge_arrival(machine, boot_clock::now());
+    drop_gone(machine, is_closed);
+    start_verdict verdict = judge_start(machine, boot_clock::now());
+    if (verdict == start_verdict::wait) {
+        const auto priority = static_cast<int>(
+            number_or(header_of(current.request(), "x-priority"), lowest_priority));
+        verdict = wait_in_queue(shared, lock, priority) ? start_verdict::run : verdict;
+    }
+    switch (verdict) {
+    case start_verdict::run: {
+        attempt started = begin(shared, work, std::move(input));
+        started.stage = header_of(current.request(), "x-stage");
+        return started;
+    }
+    case start_verdict::wait:
+        ++machine.truth.refused;
+        lock.unlock();
+        refuse(shared, current, work);
+        return std::nullopt;
+    case start_verdict::fall_over:
+        start_work(machine, work, boot_clock::now());
+        fall_over(machine, boot_clock::now());
+        shared.changed.notify_all();
+        break;
+    case start_verdict::down:
+        break;
+    }
+    current.abandon();
+    return std::nullopt;
+}
+
+bool still_running(const shared_state& shared, const attempt& current) {
+    return !shared.stopping && shared.machine.epoch == current.epoch &&
+           shared.machine.running.contains(current.number);
+}
+
+//! Passes time while the attempt runs.
+pause_end pause(shared_state& shared, const attempt& current, milliseconds duration) {
+    const instant ends = boot_clock::now() + duration;
+    std::unique_lock lock(shared.mutex);
+    while (still_running(shared, current)) {
+        const milliseconds left = ends - boot_clock::now();
+        if (left <= 0ms) {
+            return pause_end::elapsed;
+        }
+        shared.changed.wait_for(lock, std::min(left, check_period));
+        if (is_closed(current.work.socket)) {
+            drop_gone(shared.machine, is_closed);
+        }
+    }
+    return pause_end::ended;
+}
+
+//! Frees its place. Comes before the last byte of the answer, so that whoever has the answer may
+//! start the next piece of work.
+bool finish(shared_state& shared, const attempt& current) {
+    const std::lock_guard lock(shared.mutex);
+    const bool running = still_running(shared, current);
+    if (running) {
+        shared.machine.running.erase(current.number);
+    }
+    shared.changed.notify_all();
+    return running;
+}
+
+void crash_now(shared_state& shared, const attempt& current) {
+    const std::lock_guard lock(shared.mutex);
+    if (shared.machine.epoch == current.epoch) {
+        fall_over(shared.machine, boot_clock::now());
+        shared.changed.notify_all();
+    }
+}
+
+milliseconds work_time(shared_state& shared) {
+    const std::lock_guard lock(shared.mutex);
+    const milliseconds usual = shared.machine.behaviour.stage_time;
+    return shared.machine.warm ? usual : usual * cold_slowdown;
+}
+
+long long busy_ms(const attempt& current) {
+    return (boot_clock::now() - current.began).count();
+}
+
+//! Shows the faults that come before any answer; true if the attempt has ended with them.
+bool show_early_faults(shared_state& shared, exchange& current, const attempt& running) {
+    if (running.faults.crash) {
+        pause(shared, running, check_period);
+        crash_now(shared, running);
+        current.abandon();
+        return true;
+    }
+    if (running.faults.silent) {
+        pause(shared, running, longest_silence);
+        finish(shared, running);
+        current.abandon();
+        return true;
+    }
+    return false;
+}
+
+// --- run and call
+// ---------------------------------------------------------------------------------
+
+void answer_text(shared_state& shared, exchange& current, const attempt& running) {
+    const attempt_key& key = running.faults.misdirect ? running.other : running.work.key;
+    const nlohmann::json answer{{"request", key.request},
+                                {"stage", running.stage},
+                                {"attempt", key.attempt},
+                                {"output", output_of(shared.machine.settings.pool, running.input)},
+                                {"busy_ms", busy_ms(running)}};
+    std::string body = answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (running.faults.duplicate) {
+        body += body;
+    }
+    std::vector<std::string> headers = echo_headers(shared, key, running.stage);
+    headers.emplace_back("Content-Type: application/json");
+    delay_across_zones(shared, running.work);
+    if (running.faults.truncate) {
+        current.respond_truncated(200, headers, body);
+    } else {
+        current.respond(running.faults.fail ? 500 : 200, headers, running.faults.fail ? "" : body);
+    }
+}
+
+void run_text(shared_state& shared, exchange& current, const attempt& running) {
+    if (show_early_faults(shared, current, running)) {
+        return;
+    }
+    const milliseconds time = work_time(shared) + (running.faults.late ? lateness : 0ms);
+    if (pause(shared, running, time) == pause_end::ended || !finish(shared, running)) {
+        current.abandon();
+        return;
+    }
+    answer_text(shared, current, running);
+}
+
+// --- generate
+// -------------------------------------------------------------------------------------
+
+std::string token_line(const attempt_key& key, int index, std::string_view token) {
+    const nlohmann::json line{
+        {"request", key.request}, {"attempt", key.attempt}, {"index", index}, {"token", token}};
+    return line.dump() + "\n";
+}
+
+std::string done_line(const attempt& running, int count) {
+    const nlohmann::json line{{"request", running.work.key.request},
+                              {"attempt", running.work.key.attempt},
+                              {"done", true},
+                              {"count", count},
+                              {"busy_ms", busy_ms(running)}};
+    return line.dump() + "\n";
+}
+
+bool write_token(shared_state& shared, exchange& current, const attempt& running, int index) {
+    const bool astray = running.faults.misdirect && index % duplicate_every == 1;
+    const std::string token = token_of(running.input, index);
+    std::string lines = token_line(running.work.key, index, token);
+    if (astray) {
+        lines = token_line(running.other, index, "astray ") + lines;
+    }
+    if (running.faults.duplicate && index % duplicate_every == 0) {
+        lines += lines;
+    }
+    const std::lock_guard lock(shared.mutex);
+    ++shared.machine.truth.tokens;
+    return current.write_chunk(lines);
+}
+
+milliseconds prefill_time(shared_state& shared, const attempt& running) {
+    const milliseconds usual = work_time(shared);
+    const std::lock_guard lock(shared.mutex);
+    const bool hit =
+        touch_prefix(shared.machine.cache, prefix_of(running.input), boot_clock::now());
+    return hit ? usual / cached_speedup : usual;
+}
+
+milliseconds token_gap(shared_state& shared) {
+    const std::lock_guard lock(shared.mutex);
+    return shared.machine.behaviour.token_time;
+}
+
+//! Sends tokens from `from` up to `end`; false if the stream has to break off.
+bool stream_tokens(shared_state& shared, exchange& current, const attempt& running, int from,
+                   int end) {
+    for (int index = from; index < end; ++index) {
+        if (!write_token(shared, current, running, index)) {
+            return false;
+        }
+        if (pause(shared, running, token_gap(shared)) == pause_end::ended) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void break_off(shared_state& shared, exchange& current, const attempt& running) {
+    const bool died = !finish(shared, running) && shared.machine.epoch != running.epoch;
+    if (!died && !running.faults.truncate) {
+        current.end_stream();  // cancelled: the stream ends without a `done` line
+    }
+    current.abandon();
+}
+
+void run_stream(shared_state& shared, exchange& current, const attempt& running, int from,
+                int count) {
+    std::vector<std::string> headers = echo_headers(shared, running.work.key, running.stage);
+    headers.emplace_back("Content-Type: application/x-ndjson");
+    delay_across_zones(shared, running.work);
+    current.begin_stream(200, headers);
+    const bool breaks = running.faults.truncate || running.faults.crash || running.faults.silent;
+    const int end = breaks ? from + (count - from) / 2 : count;
+    const bool streamed = stream_tokens(shared, current, running, from, end);
+    if (streamed && show_early_faults(shared, current, running)) {
+        return;
+    }
+    if (!streamed || breaks || !finish(shared, running)) {
+        break_off(shared, current, running);
+        return;
+    }
+    current.write_chunk(done_line(running, count));
+    current.end_stream();
+}
+
+void generate(shared_state& shared, exchange& current, const attempt& running,
+              const nlohmann::json& body) {
+    const int count = std::clamp(body.value("max_tokens", default_tokens), 0, max_tokens);
+    const int from = std::clamp(body.value("resume_from", 0), 0, count);
+    const milliseconds late = running.faults.late ? lateness : 0ms;
+    const pause_end waited = pause(shared, running, prefill_time(shared, running) + late);
+    if (waited == pause_end::ended) {
+        current.abandon();
+        return;
+    }
+    if (running.faults.fail) {
+        finish(shared, running);
+        current.respond(500, echo_headers(shared, running.work.key, running.stage), "");
+        return;
+    }
+    run_stream(shared, current, running, from, count);
+}
+
+}  // namespace
+
+void handle_work(shared_state& shared, exchange& current) {
+    const incoming_request& request = current.request();
+    const bool calls = request.path.starts_with("/v1/call/");
+    const nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    if (!calls && !body.is_object()) {
+        current.respond(400, {}, "");
+        return;
+    }
+    const std::string input = calls ? request.body : body.value("input", "");
+    const std::optional<attempt> running = admit(shared, current, input);
+    if (!running.has_value()) {
+        return;
+    }
+    if (request.path == "/v1/generate") {
+        generate(shared, current, *running, body);
+    } else {
+        run_text(shared, current, *running);
+    }
+}
+
+}  // namespace cyclamenmount::standins
