--- a/src/coordination/admission/admission.h
+++ b/src/coordination/admission/admission.h
@@ -12,6 +12,7 @@
 struct admission_state {
     std::set<ticket> running;
     bool stopping{false};
+    bool drained{false};  //!< told once
 };
 
 admission_state make_admission();
