--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -123,9 +123,9 @@
 
 struct share_report {
     generation_number generation{0};
+    std::vector<workspace_demand> demands;
     std::uint64_t sequence{0};  //!< of the sender; the grant repeats it
     std::uint64_t applied{0};   //!< sequence of the grant in force at the sender; 0: none
-    std::vector<workspace_demand> demands;
 };
 
 struct workspace_share {
@@ -137,8 +137,8 @@
 
 struct share_grant {
     generation_number generation{0};
-    std::uint64_t sequence{0};  //!< of the report that it answers
     std::vector<workspace_share> shares;
+    std::uint64_t sequence{0};  //!< of the report that it answers
 };
 
 // --- at most once -------------------------------------------------------------------------------
