--- a/src/routing/choose.h
+++ b/src/routing/choose.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
+#include <vector>
 
 namespace cyclamenmount {
 
@@ -33,4 +35,15 @@
 //! Load of a candidate, the lagging report corrected by own work started since, per capacity.
 double corrected_load(const candidate& value);
 
+//! Weight of an upstream in the subset of one chooser. An instance that uses the highest weighed
+//! upstreams of a large pool keeps nearly all of them as the pool changes.
+std::uint64_t subset_weight(std::string_view chooser, const upstream_id& upstream);
+
+namespace detail {
+
+//! Rendezvous weight of an upstream for a prompt prefix; the highest wins.
+std::uint64_t prefix_weight(std::uint64_t prefix_hash, const upstream_id& upstream);
+
+}  // namespace detail
+
 }  // namespace cyclamenmount
