Documents: watch, versions from peers, conditional edits, emergency orders

The three documents are held at their highest version, read by a watch of a few members, pushed on acceptance and pulled when a heartbeat names a newer version. Edits are conditional writes that recognise their own operation after a lost answer; taking out while the store is silent becomes an emergency order held by all peers until recorded.

--- /dev/null
+++ b/src/coordination/documents/documents.cpp
@@ -0,0 +1,192 @@
+#include "coordination/documents/documents.h"
+
+#include "coordination/documents/internal/parts.h"
+#include "coordination/documents/internal/stored_text.h"
+#include "lists/lists.h"
+#include "types/overloaded.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include <xxhash.h>
+
+namespace cyclamenmount {
+
+namespace detail {
+
+namespace {
+
+//! Recorded operations remembered, so that an old emergency order can't come back.
+constexpr std::size_t kept_recorded = 512;
+
+std::string first_message(const findings& found) {
+    return found.empty() ? "no finding" : found.front().message;
+}
+
+void parse_held_plans(documents_context& context, const document& value) {
+    auto parsed = parse_plans(value.text, value.name);
+    if (!parsed) {
+        log_documents(context, severity::error,
+                      "Plans in the store can't be read: " + first_message(parsed.error()) + ".");
+        return;
+    }
+    context.state.plans = std::move(parsed.value());
+}
+
+void parse_held_allowances(documents_context& context, const document& value) {
+    auto parsed = parse_allowances(value.text, value.name);
+    if (!parsed) {
+        log_documents(context, severity::error,
+                      "Allowances in the store can't be read: " + first_message(parsed.error()) +
+                          ".");
+        return;
+    }
+    context.state.allowances = std::move(parsed.value());
+}
+
+void forget_oldest_recorded(documents_state& state) {
+    while (state.recorded.size() > kept_recorded) {
+        const auto oldest = std::min_element(
+            state.recorded.begin(), state.recorded.end(),
+            [](const auto& left, const auto& right) { return left.second < right.second; });
+        state.recorded.erase(oldest);
+    }
+}
+
+void take_availability(documents_state& state, const document& value) {
+    state.out = parse_availability(value.text);
+    for (const change_record& change : value.changes) {
+        state.recorded[change.operation] = value.version;
+        state.emergency.erase(change.operation);
+    }
+    forget_oldest_recorded(state);
+}
+
+}  // namespace
+
+void log_documents(documents_context& context, severity level, std::string text) {
+    context.out.emplace_back(log_line{level, part::documents, std::move(text)});
+}
+
+bool accept_document(documents_context& context, const document& value) {
+    document& held = context.state.held[value.name];
+    if (value.version <= held.version) {
+        return false;
+    }
+    held = value;
+    if (value.name == document_names::plans) {
+        parse_held_plans(context, value);
+    } else if (value.name == document_names::allowances) {
+        parse_held_allowances(context, value);
+    } else if (value.name == document_names::availability) {
+        take_availability(context.state, value);
+    }
+    log_documents(context, severity::info,
+                  value.name + " is in force at version " + std::to_string(value.version) + ".");
+    return true;
+}
+
+}  // namespace detail
+
+documents_state make_documents(const environment& /*env*/, instant now) {
+    documents_state state;
+    state.next_watch = now;
+    state.next_recording = now;
+    return state;
+}
+
+documents_state make_documents_with(const environment& env, plan_list plans,
+                                    allowance_list allowances, instant now) {
+    documents_state state = make_documents(env, now);
+    state.held[document_names::plans] = document{document_names::plans, 1, {}, {}};
+    state.held[document_names::allowances] = document{document_names::allowances, 1, {}, {}};
+    state.plans = std::move(plans);
+    state.allowances = std::move(allowances);
+    state.store_heard_at = now;
+    state.revision = 1;
+    return state;
+}
+
+void reduce_documents(documents_state& state, const environment& env, const roster_state& roster,
+                      const event& happened, instant now, effects& out) {
+    detail::documents_context context{state, env, roster, now, out};
+    std::visit(
+        overloaded{
+            [&](const tick&) {
+                detail::keep_watch(context);
+                detail::advance_edits(context);
+            },
+            [&](const peer_message_received& received) { detail::handle_peer(context, received); },
+            [&](const watch_ended& ended) { detail::handle_watch_end(context, ended); },
+            [&](const store_replied& reply) {
+                if (reply.number.owner == part::documents) {
+                    detail::handle_store_reply(context, reply);
+                }
+            },
+            [&](const list_edit_wanted& wanted) { detail::start_list_edit(context, wanted); },
+            [&](const availability_wanted& wanted) {
+                detail::start_availability_edit(context, wanted);
+            },
+            [](const auto&) {},
+        },
+        happened);
+}
+
+bool has_lists(const documents_state& state) {
+    return version_of(state, document_names::plans) > 0 &&
+           version_of(state, document_names::allowances) > 0;
+}
+
+object_version version_of(const documents_state& state, std::string_view name) {
+    const auto found = state.held.find(std::string(name));
+    return found == state.held.end() ? 0 : found->second.version;
+}
+
+bool is_out(const documents_state& state, const zone_name& zone, const upstream_id& upstream) {
+    if (state.out.zones.contains(zone) || state.out.upstreams.contains(upstream)) {
+        return true;
+    }
+    return std::any_of(state.emergency.begin(), state.emergency.end(), [&](const auto& entry) {
+        const emergency_order& order = entry.second;
+        return order.zone.empty() ? order.upstream == upstream : order.zone == zone;
+    });
+}
+
+bool is_vouched(const documents_state& state, const environment& env, const roster_state& roster,
+                instant now) {
+    const milliseconds vouch = env.timing.vouch;
+    const object_version held = version_of(state, document_names::availability);
+    const bool is_behind =
+        std::any_of(roster.heard.begin(), roster.heard.end(), [&](const auto& entry) {
+            const heard_peer& peer = entry.second;
+            return now - peer.asked_at <= vouch && peer.versions.availability > held;
+        });
+    if (is_behind) {
+        return false;
+    }
+    const bool store_heard = state.store_heard_at && now - *state.store_heard_at <= vouch;
+    return store_heard || hears_majority(roster, vouch, now);
+}
+
+const workspace_entry* find_workspace(const documents_state& state, std::string_view key_sha256) {
+    const auto& all = state.plans.workspaces;
+    const auto found = std::find_if(all.begin(), all.end(), [&](const workspace_entry& entry) {
+        return entry.key_sha256 == key_sha256;
+    });
+    return found == all.end() ? nullptr : &*found;
+}
+
+const allowance* find_allowance(const documents_state& state, const plan_name& plan) {
+    const auto found = state.allowances.plans.find(plan);
+    return found == state.allowances.plans.end() ? nullptr : &found->second;
+}
+
+std::uint64_t emergency_digest(const documents_state& state) {
+    std::uint64_t digest = 0;
+    for (const auto& [operation, order] : state.emergency) {
+        digest ^= XXH3_64bits(operation.data(), operation.size());
+    }
+    return digest;
+}
+
+}  // namespace cyclamenmount
--- a/src/coordination/documents/documents.h
+++ b/src/coordination/documents/documents.h
@@ -2,6 +2,12 @@
 //!
 //! The highest version wins and none goes back. Emergency orders only restrict; they hold on peers
 //! until the store has recorded them.
+//!
+//! Ways weighed for an instance that is paused or cut off and so can't know what was taken out:
+//! serving on with the last news breaks "out means out" for as long as the cut lasts; stopping as
+//! soon as the store is silent ends all service in a store outage. The rule kept: an instance
+//! starts new work only while it has heard, within `timing_settings::vouch`, the store or a
+//! majority of its peers, dated by when it asked, and knows of no newer availability document.
 #pragma once
 
 #include "coordination/roster/roster.h"
@@ -12,13 +18,29 @@
 
 namespace cyclamenmount {
 
-//! One edit between its first write and the decision.
+enum class edit_kind {
+    list,          //!< of one of the two lists
+    availability,  //!< adds or removes one name
+    recording,     //!< of emergency orders; nobody waits for it
+};
+
+enum class edit_step { reading, writing, pausing };
+
+//! One edit between its first call and the decision.
 struct pending_edit {
+    edit_kind kind{edit_kind::list};
+    edit_step step{edit_step::reading};
     ticket number{0};
-    document wanted;
+    std::string name;  //!< of the document
+    std::string text;  //!< wanted text of a list
+    zone_name zone;    //!< of an availability edit
+    upstream_id upstream;
+    bool out{false};
     change_record change;
+    document written;  //!< as last sent to the store
     instant since;
-    bool reading_back{false};
+    instant step_since;
+    int tries{0};
 };
 
 //! Zones and upstreams out of service, as the availability document says.
@@ -34,14 +56,19 @@
     allowance_list allowances;
     availability out;
     std::map<std::string, emergency_order> emergency;  //!< by operation
-    std::map<store_ticket, pending_edit> edits;
-    std::optional<instant> store_heard_at;  //!< when the last answered watch or read was asked
+    std::map<std::string, object_version> recorded;    //!< operations seen in availability, bounded
+    std::map<std::uint64_t, pending_edit> edits;       //!< by number of the store call
+    std::optional<instant> store_heard_at;  //!< the store's last news of a watch are from then on
     bool watch_in_flight{false};
     instant watch_asked_at;
+    std::optional<instant> oldest_watch_at;  //!< of those that haven't ended
+    instant next_watch;
+    instant next_recording;
     object_version revision{0};
     std::uint64_t next_ticket{1};
     std::map<instance_id, known_versions> in_force;  //!< as peers told, for operators
     std::map<std::string, instant> requested;        //!< last document_request by name
+    std::map<instance_id, member> pinged_by;         //!< for answers to instances not in a roster
 };
 
 documents_state make_documents(const environment& env, instant now);
