Upstream attempts: bound to their request, checked as they come, ended exactly once

An attempt is sent only before the end of its start window, checked as the first byte is about to leave. libcurl would repeat a request by itself on a new connection when a kept one dies; the second send is stopped, since the upstream may have run the first. Each grant is settled once: at the end, or after a cancelled attempt's upstream has answered the cancel order.

--- /dev/null
+++ b/src/upstreams/grant_guard.h
@@ -0,0 +1,50 @@
+//! Sees to it that each granted attempt ends with exactly one `attempt_ended`.
+#pragma once
+
+#include "types/events.h"
+
+#include <functional>
+#include <utility>
+
+namespace cyclamenmount {
+
+//! Posts `attempt_ended` as it is destroyed or settled, whichever comes first.
+class grant_guard {
+public:
+    grant_guard(std::function<void(event)> post, attempt_id attempt, upstream_id upstream)
+        : post_(std::move(post)) {
+        ended_.attempt = std::move(attempt);
+        ended_.upstream = std::move(upstream);
+        ended_.outcome = attempt_outcome::not_started;
+    }
+
+    ~grant_guard() {
+        settle();
+    }
+
+    grant_guard(const grant_guard&) = delete;
+    grant_guard& operator=(const grant_guard&) = delete;
+
+    grant_guard(grant_guard&& other) noexcept
+        : post_(std::exchange(other.post_, nullptr)), ended_(std::move(other.ended_)) {
+    }
+
+    grant_guard& operator=(grant_guard&&) = delete;
+
+    //! What will be posted.
+    attempt_ended& ended() {
+        return ended_;
+    }
+
+    void settle() {
+        if (post_) {
+            std::exchange(post_, nullptr)(ended_);
+        }
+    }
+
+private:
+    std::function<void(event)> post_;
+    attempt_ended ended_;
+};
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/upstreams/transfer.cpp
@@ -0,0 +1,258 @@
+#include "upstreams/internal/transfer.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace cyclamenmount {
+
+const char* name_of(attempt_fault fault) {
+    switch (fault) {
+    case attempt_fault::none:
+        return "none";
+    case attempt_fault::window_passed:
+        return "start window passed";
+    case attempt_fault::connect_failed:
+        return "no connection";
+    case attempt_fault::refused_not_run:
+        return "refused before any work";
+    case attempt_fault::error_status:
+        return "error status";
+    case attempt_fault::misdirected:
+        return "misdirected answer";
+    case attempt_fault::duplicate_token:
+        return "duplicate token";
+    case attempt_fault::out_of_order:
+        return "token out of order";
+    case attempt_fault::truncated:
+        return "truncated answer";
+    case attempt_fault::malformed:
+        return "malformed answer";
+    case attempt_fault::too_large:
+        return "answer too large";
+    case attempt_fault::connection_lost:
+        return "connection lost";
+    case attempt_fault::silent:
+        return "silent connection";
+    case attempt_fault::deadline_passed:
+        return "deadline passed";
+    case attempt_fault::cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+namespace detail {
+
+namespace {
+
+attempt_outcome outcome_of(attempt_fault fault) {
+    switch (fault) {
+    case attempt_fault::none:
+        return attempt_outcome::ok;
+    case attempt_fault::window_passed:
+        return attempt_outcome::not_started;
+    case attempt_fault::connect_failed:
+    case attempt_fault::refused_not_run:
+        return attempt_outcome::refused;
+    case attempt_fault::connection_lost:
+        return attempt_outcome::died;
+    case attempt_fault::silent:
+    case attempt_fault::deadline_passed:
+        return attempt_outcome::timed_out;
+    case attempt_fault::cancelled:
+        return attempt_outcome::cancelled;
+    default:
+        return attempt_outcome::failed;
+    }
+}
+
+}  // namespace
+
+transfer::transfer(attempt_call call, grant_guard guard, const upstream_client_settings& settings)
+    : call_(std::move(call)), guard_(std::move(guard)), silence_(settings.stream_silence),
+      easy_(curl_easy_init()), begun_(boot_clock::now()), last_progress_(begun_) {
+    reader_.next_index = call_.resume_from;
+    set_request(settings);
+}
+
+std::string transfer::path() const {
+    switch (call_.kind) {
+    case pool_kind::engine:
+        return "/v1/generate";
+    case pool_kind::stage:
+        return "/v1/run";
+    case pool_kind::service:
+        break;
+    }
+    return "/v1/call/" + call_.stage.value;
+}
+
+std::string transfer::body() const {
+    if (call_.kind == pool_kind::service) {
+        return call_.input;
+    }
+    nlohmann::json value{{"input", call_.input}};
+    if (call_.kind == pool_kind::engine) {
+        value["max_tokens"] = call_.max_tokens;
+        value["resume_from"] = call_.resume_from;
+    }
+    return value.dump();
+}
+
+void transfer::set_request(const upstream_client_settings& settings) {
+    const auto left = std::max(call_.deadline - begun_, milliseconds(1));
+    const std::pair<const char*, std::string> lines[] = {
+        {"X-Request-Id", call_.request.value},
+        {"X-Stage", call_.stage.value},
+        {"X-Attempt", call_.attempt.value},
+        {"X-Deadline-Ms", std::to_string(left.count())},
+        {"X-Priority", std::to_string(call_.priority)},
+        {"X-Workspace", call_.workspace.value},
+        {"X-From-Zone", call_.from_zone.value},
+        {"Content-Type", "application/json"},
+    };
+    for (const auto& [name, value] : lines) {
+        add_header(headers_, std::string(name) + ": " + value);
+    }
+    add_header(headers_, "Expect:");
+    if (!call_.key.empty()) {
+        add_header(headers_, "Idempotency-Key: " + call_.key.value);
+    }
+    body_ = body();
+    CURL* easy = easy_.get();
+    curl_easy_setopt(easy, CURLOPT_URL, ("http://" + call_.address + path()).c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers_.get());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(body_.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body_.c_str());
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(settings.connect_timeout.count()));
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &transfer::on_header);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &transfer::on_body);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &transfer::on_ready_to_send);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+    // A kept connection may have died unnoticed, which would leave the outcome of the call unknown.
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call_.key.empty() ? 0L : 1L);
+}
+
+std::size_t transfer::on_header(char* data, std::size_t size, std::size_t count, void* self) {
+    auto& me = *static_cast<transfer*>(self);
+    me.last_progress_ = boot_clock::now();
+    read_header(me.reader_, std::string_view(data, size * count));
+    return size * count;
+}
+
+std::size_t transfer::on_body(char* data, std::size_t size, std::size_t count, void* self) {
+    auto& me = *static_cast<transfer*>(self);
+    me.last_progress_ = boot_clock::now();
+    long status = 0;
+    curl_easy_getinfo(me.easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+    me.reader_.status = static_cast<int>(status);
+    if (!read_body(me.reader_, me.call_, std::string_view(data, size * count))) {
+        return 0;
+    }
+    if (me.first_token_at_ == instant{} && me.reader_.accepted > 0) {
+        me.first_token_at_ = me.last_progress_;
+    }
+    return size * count;
+}
+
+int transfer::on_ready_to_send(void* self, char* /*remote_ip*/, char* /*local_ip*/,
+                               int /*remote_port*/, int /*local_port*/) {
+    auto& me = *static_cast<transfer*>(self);
+    if (me.sent_) {
+        // libcurl wants to send again on a new connection: that would be a second attempt.
+        return CURL_PREREQFUNC_ABORT;
+    }
+    me.last_progress_ = boot_clock::now();
+    if (me.last_progress_ >= std::min(me.call_.start_before, me.call_.deadline)) {
+        me.window_passed_ = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    me.sent_ = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+std::vector<received_token> transfer::take_tokens() {
+    return std::exchange(reader_.tokens, {});
+}
+
+instant transfer::next_check() const {
+    return call_.key.empty() ? std::min(call_.deadline, last_progress_ + silence_)
+                             : call_.deadline;
+}
+
+attempt_fault transfer::overdue(instant now) const {
+    if (now >= call_.deadline) {
+        return sent_ ? attempt_fault::deadline_passed : attempt_fault::window_passed;
+    }
+    if (now < next_check()) {
+        return attempt_fault::none;
+    }
+    return sent_ ? attempt_fault::silent : attempt_fault::connect_failed;
+}
+
+attempt_fault transfer::fault_of(CURLcode code) {
+    if (window_passed_) {
+        return attempt_fault::window_passed;
+    }
+    if (!sent_) {
+        return attempt_fault::connect_failed;
+    }
+    if (reader_.fault != attempt_fault::none) {
+        return reader_.fault;
+    }
+    if (code == CURLE_OK) {
+        return finish_answer(reader_, call_);
+    }
+    return attempt_fault::connection_lost;
+}
+
+attempt_result transfer::finish(CURLcode code) {
+    long status = 0;
+    curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+    reader_.status = static_cast<int>(status);
+    return finish(fault_of(code));
+}
+
+attempt_result transfer::finish(attempt_fault fault) {
+    attempt_result result;
+    result.fault = fault;
+    result.outcome = outcome_of(fault);
+    result.sent = sent_;
+    result.status = reader_.status;
+    result.output = std::move(reader_.output);
+    result.tokens = reader_.accepted;
+    result.busy = reader_.busy;
+    result.took = boot_clock::now() - begun_;
+    if (first_token_at_ != instant{}) {
+        result.first_token = std::max(first_token_at_ - begun_, milliseconds(1));
+    }
+    if (reader_.load) {
+        result.report = *reader_.load;
+        result.report.upstream = call_.upstream;
+    }
+    if (!sent_ && fault == attempt_fault::cancelled) {
+        result.outcome = attempt_outcome::not_started;
+    }
+    return result;
+}
+
+grant_guard transfer::take_guard(const attempt_result& result) {
+    attempt_ended& ended = guard_.ended();
+    ended.outcome = result.outcome;
+    ended.report = result.report;
+    ended.took = result.took;
+    ended.first_token = result.first_token;
+    ended.tokens = result.tokens;
+    return std::move(guard_);
+}
+
+}  // namespace detail
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/upstreams/upstream_client.cpp
@@ -0,0 +1,242 @@
+#include "upstreams/upstream_client.h"
+
+#include "upstreams/internal/canceller.h"
+#include "upstreams/internal/transfer.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace cyclamenmount {
+
+using detail::canceller;
+using detail::multi_handle;
+using detail::transfer;
+
+// --- upstream_client ----------------------------------------------------------------------------
+
+struct upstream_client::impl {
+    explicit impl(upstream_client_settings wanted)
+        : settings(wanted), cancels(wanted.cancel_timeout) {
+    }
+
+    multi_handle borrow_connections() {
+        const std::lock_guard lock(mutex);
+        if (!idle.empty()) {
+            multi_handle taken = std::move(idle.back());
+            idle.pop_back();
+            return taken;
+        }
+        multi_handle made(curl_multi_init());
+        curl_multi_setopt(made.get(), CURLMOPT_MAXCONNECTS,
+                          static_cast<long>(settings.connections_kept));
+        return made;
+    }
+
+    void give_back_connections(multi_handle value) {
+        constexpr std::size_t most_idle = 64;
+        const std::lock_guard lock(mutex);
+        if (idle.size() < most_idle) {
+            idle.push_back(std::move(value));
+        }
+    }
+
+    void count(attempt_fault fault) {
+        switch (fault) {
+        case attempt_fault::window_passed:
+            ++counters.not_started;
+            break;
+        case attempt_fault::misdirected:
+            ++counters.misdirected;
+            break;
+        case attempt_fault::duplicate_token:
+            ++counters.duplicate;
+            break;
+        case attempt_fault::out_of_order:
+            ++counters.out_of_order;
+            break;
+        case attempt_fault::truncated:
+            ++counters.truncated;
+            break;
+        case attempt_fault::malformed:
+        case attempt_fault::too_large:
+            ++counters.malformed;
+            break;
+        case attempt_fault::silent:
+            ++counters.silent;
+            break;
+        case attempt_fault::connection_lost:
+            ++counters.lost;
+            break;
+        case attempt_fault::cancelled:
+            ++counters.cancelled;
+            break;
+        default:
+            break;
+        }
+    }
+
+    upstream_client_settings settings;
+    upstream_counters counters;
+    std::mutex mutex;
+    std::vector<multi_handle> idle;  //!< the one used last is taken first
+    canceller cancels;
+};
+
+upstream_client::upstream_client(std::unique_ptr<impl> implementation)
+    : impl_(std::move(implementation)) {
+}
+
+upstream_client::~upstream_client() = default;
+
+result<std::unique_ptr<upstream_client>> upstream_client::start(upstream_client_settings settings) {
+    static const CURLcode initialised = curl_global_init(CURL_GLOBAL_ALL);
+    if (initialised != CURLE_OK) {
+        return error{error_kind::system, "libcurl can't be initialised"};
+    }
+    return std::unique_ptr<upstream_client>(
+        new upstream_client(std::make_unique<impl>(settings)));
+}
+
+upstream_counters& upstream_client::counters() {
+    return impl_->counters;
+}
+
+// --- attempt_group ------------------------------------------------------------------------------
+
+struct attempt_group::impl {
+    explicit impl(upstream_client::impl& owner)
+        : client(owner), multi(owner.borrow_connections()) {
+    }
+
+    using position = std::vector<std::unique_ptr<transfer>>::iterator;
+
+    std::unique_ptr<transfer> detach(position found) {
+        std::unique_ptr<transfer> taken = std::move(*found);
+        curl_multi_remove_handle(multi.get(), taken->handle());
+        running.erase(found);
+        return taken;
+    }
+
+    //! Settles the guard, at once or when the upstream has answered the cancel order.
+    void release(transfer& ended, const attempt_result& value, bool upstream_may_go_on) {
+        grant_guard guard = ended.take_guard(value);
+        client.count(value.fault);
+        if (!upstream_may_go_on || !ended.sent()) {
+            return;
+        }
+        const attempt_call& call = ended.call();
+        client.cancels.enqueue(
+            {call.address, call.request, call.attempt, call.deadline, std::move(guard)});
+    }
+
+    void collect_ended(std::vector<attempt_news>& news) {
+        int left = 0;
+        while (CURLMsg* message = curl_multi_info_read(multi.get(), &left)) {
+            if (message->msg != CURLMSG_DONE) {
+                continue;
+            }
+            const CURLcode code = message->data.result;
+            const CURL* handle = message->easy_handle;
+            const auto found = std::ranges::find_if(
+                running, [handle](const auto& value) { return value->handle() == handle; });
+            const std::unique_ptr<transfer> ended = detach(found);
+            attempt_news one{ended->call().attempt, ended->take_tokens(), ended->finish(code)};
+            const bool broken_off = code == CURLE_WRITE_ERROR;
+            release(*ended, *one.end, broken_off);
+            news.push_back(std::move(one));
+        }
+    }
+
+    void collect_overdue(std::vector<attempt_news>& news) {
+        const instant now = boot_clock::now();
+        for (std::size_t at = 0; at < running.size();) {
+            const attempt_fault fault = running[at]->overdue(now);
+            if (fault == attempt_fault::none) {
+                at += 1;
+                continue;
+            }
+            const auto found = running.begin() + static_cast<std::ptrdiff_t>(at);
+            const std::unique_ptr<transfer> ended = detach(found);
+            attempt_news one{ended->call().attempt, ended->take_tokens(), ended->finish(fault)};
+            release(*ended, *one.end, true);
+            news.push_back(std::move(one));
+        }
+    }
+
+    void collect_tokens(std::vector<attempt_news>& news) {
+        for (const auto& value : running) {
+            std::vector<received_token> tokens = value->take_tokens();
+            if (!tokens.empty()) {
+                news.push_back({value->call().attempt, std::move(tokens), std::nullopt});
+            }
+        }
+    }
+
+    std::vector<attempt_news> step() {
+        int active = 0;
+        curl_multi_perform(multi.get(), &active);
+        std::vector<attempt_news> news;
+        collect_ended(news);
+        collect_overdue(news);
+        collect_tokens(news);
+        return news;
+    }
+
+    [[nodiscard]] milliseconds longest_wait(milliseconds limit) const {
+        const instant now = boot_clock::now();
+        for (const auto& value : running) {
+            limit = std::min(limit, std::max(value->next_check() - now, milliseconds(0)));
+        }
+        return limit;
+    }
+
+    upstream_client::impl& client;
+    multi_handle multi;
+    std::vector<std::unique_ptr<transfer>> running;
+};
+
+attempt_group::attempt_group(upstream_client& client)
+    : impl_(std::make_unique<impl>(*client.impl_)) {
+}
+
+attempt_group::~attempt_group() {
+    while (!impl_->running.empty()) {
+        cancel(impl_->running.front()->call().attempt);
+    }
+    impl_->client.give_back_connections(std::move(impl_->multi));
+}
+
+void attempt_group::add(attempt_call call, grant_guard guard) {
+    auto made = std::make_unique<transfer>(std::move(call), std::move(guard),
+                                           impl_->client.settings);
+    ++impl_->client.counters.attempts;
+    curl_multi_add_handle(impl_->multi.get(), made->handle());
+    impl_->running.push_back(std::move(made));
+}
+
+std::vector<attempt_news> attempt_group::wait(milliseconds limit) {
+    std::vector<attempt_news> news = impl_->step();
+    if (!news.empty()) {
+        return news;
+    }
+    const auto pause = impl_->longest_wait(limit);
+    curl_multi_poll(impl_->multi.get(), nullptr, 0, static_cast<int>(pause.count()), nullptr);
+    return impl_->step();
+}
+
+void attempt_group::cancel(const attempt_id& attempt) {
+    const auto found = std::ranges::find_if(
+        impl_->running, [&attempt](const auto& value) { return value->call().attempt == attempt; });
+    if (found == impl_->running.end()) {
+        return;
+    }
+    const std::unique_ptr<transfer> ended = impl_->detach(found);
+    const attempt_result value = ended->finish(attempt_fault::cancelled);
+    impl_->release(*ended, value, true);
+}
+
+std::size_t attempt_group::running() const {
+    return impl_->running.size();
+}
+
+}  // namespace cyclamenmount
