--- /dev/null
+++ b/src/app/daemon.cpp
@@ -0,0 +1,288 @@
+#include "app/daemon.h"
+
+#include "callers/caller_server.h"
+#include "control_loop/control_loop.h"
+#include "operators/operator_server.h"
+#include "peers/peer_network.h"
+#include "platform/platform_client.h"
+#include "secrets/secrets.h"
+#include "telemetry/metrics.h"
+#include "types/words.h"
+#include "upstream_control/upstream_control.h"
+
+#include <thread>
+
+#include <glog/logging.h>
+
+namespace cyclamenmount {
+
+namespace {
+
+constexpr milliseconds poll_timeout = 400ms;
+constexpr milliseconds drain_poll = 20ms;
+constexpr milliseconds final_flush = 200ms;
+
+void write_log(const log_line& line) {
+    switch (line.level) {
+    case severity::info:
+        LOG(INFO) << word(line.from) << ": " << line.text;
+        break;
+    case severity::warning:
+        LOG(WARNING) << word(line.from) << ": " << line.text;
+        break;
+    case severity::error:
+        LOG(ERROR) << word(line.from) << ": " << line.text;
+        break;
+    }
+}
+
+environment make_environment(const daemon_settings& settings) {
+    environment env;
+    const auto id = draw_id();
+    env.self = {instance_id{id}, settings.peer_listen, settings.zone};
+    env.cell = settings.cell;
+    env.timing = settings.timing;
+    env.pools = settings.pools;
+    env.seed = std::stoull(id, nullptr, 16);
+    return env;
+}
+
+}  // namespace
+
+//! Members are in the order in which they start; they end in the reverse order.
+struct daemon::impl {
+    daemon_settings settings;
+    environment env;
+    metrics numbers;
+    std::unique_ptr<control_loop> control;
+    std::unique_ptr<http_loop> http;
+    std::unique_ptr<platform_client> platform;
+    std::unique_ptr<upstream_control> upstream_status;
+    std::unique_ptr<answer_store> answers;
+    std::unique_ptr<peer_network> peers;
+    std::unique_ptr<upstream_client> upstreams;
+    std::unique_ptr<retry_budget> budget;
+    std::unique_ptr<operator_server> operators;
+    std::unique_ptr<caller_server> callers;
+
+    [[nodiscard]] effect_handlers make_handlers();
+    [[nodiscard]] std::string dump() const;
+    [[nodiscard]] std::string metrics_page();
+    [[nodiscard]] std::vector<member> other_members() const;
+    result<bool> start_network(const std::string& secret);
+    result<bool> start_operators(const std::string& secret);
+    result<bool> start_callers();
+};
+
+effect_handlers daemon::impl::make_handlers() {
+    effect_handlers handlers;
+    handlers.send = [this](const send_to_peer& wanted) { peers->send(wanted.to, wanted.message); };
+    handlers.read = [this](const store_read& wanted) { platform->carry_out(wanted); };
+    handlers.write = [this](const store_write& wanted) { platform->carry_out(wanted); };
+    handlers.watch = [this](const watch_prefix& wanted) { platform->carry_out(wanted); };
+    handlers.list = [this](const list_instances& wanted) { platform->carry_out(wanted); };
+    handlers.poll = [this](const poll_upstream& wanted) { upstream_status->carry_out(wanted); };
+    handlers.order = [this](const order_upstream& wanted) { upstream_status->carry_out(wanted); };
+    handlers.log = &write_log;
+    return handlers;
+}
+
+std::string daemon::impl::dump() const {
+    nlohmann::json body;
+    const bool seen = control->inspect([&body](const control_state& state) {
+        body = describe_status(state, boot_clock::now());
+        body["versions"] = describe_versions(state);
+    });
+    if (!seen) {
+        return "{}";
+    }
+    const auto network = peers->counters();
+    body["peers"] = {{"bytes_sent", network.bytes_sent},
+                     {"bytes_received", network.bytes_received},
+                     {"messages_sent", network.messages_sent},
+                     {"connections_replaced", network.connections_replaced},
+                     {"strangers_refused", network.strangers_refused}};
+    const auto calls = platform->counters();
+    body["store"] = {{"reads", calls.reads},
+                     {"writes", calls.writes},
+                     {"watches", calls.watches},
+                     {"lists", calls.lists},
+                     {"failures", calls.failures}};
+    return body.dump();
+}
+
+std::string daemon::impl::metrics_page() {
+    control->inspect([this](const control_state& state) {
+        numbers.set_gauge("roster_generation", static_cast<double>(generation(state.roster)));
+        numbers.set_gauge("roster_members", static_cast<double>(members(state.roster).size()));
+        numbers.set_gauge("requests_running", static_cast<double>(state.admission.running.size()));
+        const auto versions = versions_of(state);
+        numbers.set_gauge("plans_version", static_cast<double>(versions.plans));
+        numbers.set_gauge("allowances_version", static_cast<double>(versions.allowances));
+        numbers.set_gauge("availability_version", static_cast<double>(versions.availability));
+    });
+    const auto calls = platform->counters();
+    numbers.set_gauge("store_reads", static_cast<double>(calls.reads));
+    numbers.set_gauge("store_writes", static_cast<double>(calls.writes));
+    numbers.set_gauge("store_watches", static_cast<double>(calls.watches));
+    numbers.set_gauge("store_lists", static_cast<double>(calls.lists));
+    numbers.set_gauge("store_failures", static_cast<double>(calls.failures));
+    numbers.set_gauge("peer_bytes_sent", static_cast<double>(peers->counters().bytes_sent));
+    return numbers.page();
+}
+
+std::vector<member> daemon::impl::other_members() const {
+    std::vector<member> others;
+    control->inspect([&](const control_state& state) {
+        for (const auto& one : members(state.roster)) {
+            if (one.id != env.self.id) {
+                others.push_back(one);
+            }
+        }
+    });
+    return others;
+}
+
+result<bool> daemon::impl::start_network(const std::string& secret) {
+    const auto post = [this](event happened) { control->post(std::move(happened)); };
+    auto loop = http_loop::start();
+    if (loop.has_error()) {
+        return loop.error();
+    }
+    http = std::move(loop.value());
+    auto client = platform_client::start(
+        {settings.object_api, env.self.id.value, settings.timing.store_timeout}, *http, post);
+    if (client.has_error()) {
+        return client.error();
+    }
+    platform = std::move(client.value());
+    upstream_status = std::make_unique<upstream_control>(*http, post, poll_timeout);
+    answers = std::make_unique<answer_store>(answer_store_settings{});
+    peer_handlers handlers;
+    handlers.on_message = [post](const instance_id& from, peer_message message) {
+        post(peer_message_received{from, std::move(message)});
+    };
+    handlers.on_read = [this](std::string_view query) { return answers->answer_read(query); };
+    peer_network_settings wanted;
+    wanted.self = env.self;
+    wanted.secret = secret;
+    auto network = peer_network::start(wanted, std::move(handlers));
+    if (network.has_error()) {
+        return network.error();
+    }
+    peers = std::move(network.value());
+    return true;
+}
+
+result<bool> daemon::impl::start_operators(const std::string& secret) {
+    operator_dependencies needs;
+    needs.control = control->client();
+    needs.control.dump = [this] { return dump(); };
+    needs.inspect = [this](const std::function<void(const control_state&)>& look) {
+        return control->inspect(look);
+    };
+    needs.metrics_page = [this] { return metrics_page(); };
+    needs.audit = [](const std::string& line) { LOG(INFO) << "audit: " << line; };
+    auto server = operator_server::start({settings.operator_listen, secret, settings.pools},
+                                         std::move(needs));
+    if (server.has_error()) {
+        return server.error();
+    }
+    operators = std::move(server.value());
+    return true;
+}
+
+result<bool> daemon::impl::start_callers() {
+    auto client = upstream_client::start({});
+    if (client.has_error()) {
+        return client.error();
+    }
+    upstreams = std::move(client.value());
+    budget = std::make_unique<retry_budget>(retry_budget_settings{});
+    caller_settings wanted;
+    wanted.address = settings.caller_listen;
+    wanted.concurrent = settings.concurrency;
+    caller_dependencies needs{
+        control->client(),
+        *upstreams,
+        *budget,
+        *answers,
+        settings.pools,
+        env.self,
+        [this](const member& peer, std::string_view query, milliseconds limit) {
+            return peers->read(peer.address, query, limit);
+        },
+        [this] { return other_members(); },
+        [this](const request_record& ended) { numbers.record(ended); },
+    };
+    auto server = caller_server::start(wanted, std::move(needs));
+    if (server.has_error()) {
+        return server.error();
+    }
+    callers = std::move(server.value());
+    return true;
+}
+
+result<std::unique_ptr<daemon>> daemon::start(daemon_settings settings, daemon_secrets secrets) {
+    auto implementation = std::make_unique<impl>();
+    auto& self = *implementation;
+    self.env = make_environment(settings);
+    self.settings = std::move(settings);
+    auto loop = control_loop::start(self.env);
+    if (loop.has_error()) {
+        return loop.error();
+    }
+    self.control = std::move(loop.value());
+    const auto network = self.start_network(secrets.peer);
+    if (network.has_error()) {
+        return network.error();
+    }
+    self.control->run(self.make_handlers());
+    std::unique_ptr<daemon> started(new daemon(std::move(implementation)));
+    const auto operators = started->impl_->start_operators(secrets.operators);
+    if (operators.has_error()) {
+        return operators.error();
+    }
+    const auto callers = started->impl_->start_callers();
+    if (callers.has_error()) {
+        return callers.error();
+    }
+    LOG(INFO) << "daemon: instance " << started->impl_->env.self.id.value << " in zone "
+              << started->impl_->env.self.zone.value << " listens.";
+    return started;
+}
+
+daemon::daemon(std::unique_ptr<impl> implementation) : impl_(std::move(implementation)) {}
+
+daemon::~daemon() {
+    impl_->callers.reset();
+    impl_->operators.reset();
+    impl_->control->stop();
+    impl_->peers.reset();
+    impl_->http.reset();
+    impl_->platform.reset();
+}
+
+bool daemon::drain() {
+    LOG(INFO) << "daemon: draining.";
+    impl_->control->post(stop_wanted{});
+    impl_->callers->stop_accepting();
+    const auto limit = boot_clock::now() + impl_->settings.drain_limit;
+    while (boot_clock::now() < limit) {
+        if (impl_->callers->drained() && impl_->control->drained()) {
+            std::this_thread::sleep_for(final_flush);
+            LOG(INFO) << "daemon: drained.";
+            return true;
+        }
+        std::this_thread::sleep_for(drain_poll);
+    }
+    LOG(WARNING) << "daemon: the drain limit has passed; " << impl_->callers->running()
+                 << " requests are cut off.";
+    return impl_->callers->drained();
+}
+
+std::string daemon::dump() const {
+    return impl_->dump();
+}
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/app/daemon_main.cpp
@@ -0,0 +1,135 @@
+//! `cyclamenmountd`: the one daemon that every entry instance runs.
+#include "app/daemon.h"
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+
+#include <civetweb.h>
+#include <curl/curl.h>
+#include <glog/logging.h>
+#include <popt.h>
+
+namespace {
+
+using namespace cyclamenmount;
+
+enum class exit_code {
+    done = 0,
+    failed = 1,            //!< couldn't start, or cut requests off at the drain limit
+    usage = 2,             //!< the command line is wrong
+    invalid_settings = 3,  //!< findings were printed
+};
+
+struct option_closer {
+    void operator()(poptContext_s* context) const {
+        poptFreeContext(context);
+    }
+};
+
+struct daemon_options {
+    char* settings_file{nullptr};
+    int check_only{0};
+    int version{0};
+};
+
+exit_code print_findings(const findings& found) {
+    for (const auto& one : found) {
+        std::cerr << one.file << ':' << one.line << ": " << one.message << '\n';
+    }
+    return exit_code::invalid_settings;
+}
+
+//! Signals that the main thread waits for; every other thread inherits the mask.
+sigset_t block_signals() {
+    sigset_t awaited;
+    sigemptyset(&awaited);
+    sigaddset(&awaited, SIGTERM);
+    sigaddset(&awaited, SIGINT);
+    sigaddset(&awaited, SIGUSR1);
+    pthread_sigmask(SIG_BLOCK, &awaited, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return awaited;
+}
+
+//! Writes the state dump on SIGUSR1, returns on SIGTERM and SIGINT.
+void wait_for_stop(const sigset_t& awaited, const daemon& running) {
+    while (true) {
+        int received = 0;
+        if (sigwait(&awaited, &received) != 0) {
+            continue;
+        }
+        if (received != SIGUSR1) {
+            return;
+        }
+        std::cerr << "dump: " << running.dump() << std::endl;
+    }
+}
+
+exit_code run(const daemon_settings& settings) {
+    const auto peer_secret = load_secret(settings.peer_secret_file);
+    const auto operator_secret = load_secret(settings.operator_secret_file);
+    findings found;
+    for (const auto* const secret : {&peer_secret, &operator_secret}) {
+        if (secret->has_error()) {
+            found.push_back({"settings", 0, secret->error().message});
+        }
+    }
+    if (!found.empty()) {
+        return print_findings(found);
+    }
+    const auto awaited = block_signals();
+    auto started = daemon::start(settings, {peer_secret.value(), operator_secret.value()});
+    if (started.has_error()) {
+        LOG(ERROR) << "daemon: " << started.error().message << '.';
+        return exit_code::failed;
+    }
+    wait_for_stop(awaited, *started.value());
+    return started.value()->drain() ? exit_code::done : exit_code::failed;
+}
+
+exit_code read_and_run(const daemon_options& options) {
+    if (options.settings_file == nullptr) {
+        std::cerr << "cyclamenmountd: --settings FILE is needed\n";
+        return exit_code::usage;
+    }
+    const auto settings = load_settings(options.settings_file);
+    if (settings.has_error()) {
+        return print_findings(settings.error());
+    }
+    if (options.check_only != 0) {
+        std::cout << options.settings_file << ": no faults\n";
+        return exit_code::done;
+    }
+    return run(settings.value());
+}
+
+}  // namespace
+
+int main(int argc, const char** argv) {
+    daemon_options options;
+    const poptOption table[] = {
+        {"settings", 's', POPT_ARG_STRING, &options.settings_file, 0, "INI file with the settings",
+         "FILE"},
+        {"check", 'c', POPT_ARG_NONE, &options.check_only, 0, "check the settings and end",
+         nullptr},
+        {"version", 'V', POPT_ARG_NONE, &options.version, 0, "print the version", nullptr},
+        POPT_AUTOHELP POPT_TABLEEND};
+    const std::unique_ptr<poptContext_s, option_closer> context(
+        poptGetContext("cyclamenmountd", argc, argv, table, 0));
+    const int parsed = poptGetNextOpt(context.get());
+    if (parsed < -1 || poptPeekArg(context.get()) != nullptr) {
+        std::cerr << "cyclamenmountd: "
+                  << (parsed < -1 ? poptStrerror(parsed) : "unexpected argument") << '\n';
+        return static_cast<int>(exit_code::usage);
+    }
+    if (options.version != 0) {
+        std::cout << "cyclamenmountd " CYCLAMENMOUNT_VERSION "\n";
+        return 0;
+    }
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    mg_init_library(0);
+    return static_cast<int>(read_and_run(options));
+}
