--- /dev/null
+++ b/src/coordination/slots/slots.cpp
@@ -0,0 +1,214 @@
+#include "coordination/slots/slots.h"
+
+#include "coordination/slots/internal/parts.h"
+#include "types/overloaded.h"
+
+#include <algorithm>
+
+namespace cyclamenmount {
+
+namespace detail {
+
+namespace {
+
+//! An attempt whose end was never told is forgotten this long after its deadline.
+constexpr milliseconds forget_after{5000};
+
+void take_listed(slots_context& context, const listed_instance& listed) {
+    const upstream_id id{listed.id};
+    known_upstream& known = context.state.known[id];
+    const bool moved = !known.address.empty() && known.address != listed.address;
+    if (moved) {
+        mark_cold(context, known, "report", false);
+    }
+    known.id = id;
+    known.pool = pool_name{listed.role};
+    known.address = listed.address;
+    known.zone = listed.zone;
+    known.listed_leaving = listed.leaving;
+}
+
+int running_at(const slots_state& state, const upstream_id& id) {
+    return static_cast<int>(
+        std::count_if(state.running.begin(), state.running.end(),
+                      [&](const auto& entry) { return entry.second.upstream == id; }));
+}
+
+void handle_list(slots_context& context, const instances_listed& list) {
+    if (list.status != store_status::ok) {
+        return;
+    }
+    std::set<upstream_id> present;
+    for (const listed_instance& each : list.instances) {
+        if (context.env.pools.pools.contains(pool_name{each.role})) {
+            present.insert(upstream_id{each.id});
+            take_listed(context, each);
+        }
+    }
+    const auto is_gone = [&](const auto& entry) { return !present.contains(entry.first); };
+    std::erase_if(context.state.known, is_gone);
+    std::erase_if(context.state.books, is_gone);
+    for (auto& [id, known] : context.state.known) {
+        known.running = running_at(context.state, id);
+    }
+}
+
+void forget_lost_attempts(slots_context& context) {
+    std::vector<attempt_id> lost;
+    for (const auto& [attempt, value] : context.state.running) {
+        if (context.now > value.ends_at + forget_after) {
+            lost.push_back(attempt);
+        }
+    }
+    for (const attempt_id& attempt : lost) {
+        attempt_ended ended;
+        ended.attempt = attempt;
+        ended.outcome = attempt_outcome::timed_out;
+        handle_attempt_end(context, ended);
+    }
+}
+
+void handle_tick(slots_context& context) {
+    forget_lost_attempts(context);
+    for (auto& [id, known] : context.state.known) {
+        if (is_out(context.documents, known.zone, id)) {
+            known.warm = false;
+        }
+        tend_upstream(context, known);
+    }
+    publish_verdicts(context);
+}
+
+void handle_message(slots_context& context, const peer_message_received& received) {
+    const instance_id& from = received.from;
+    std::visit(
+        overloaded{
+            [&](const cold_notice& message) { handle_cold_notice(context, message); },
+            [&](const report_notice& message) { handle_report_notice(context, from, message); },
+            [&](const slot_request& message) { handle_slot_request(context, from, message); },
+            [&](const slot_release& message) { handle_slot_release(context, message); },
+            [&](const holdings_request& message) {
+                handle_holdings_request(context, from, message);
+            },
+            [&](const holdings_reply& message) { handle_holdings_reply(context, from, message); },
+            [&](const cancel_notice& message) { handle_cancel(context, message); },
+            [](const auto&) {},
+        },
+        received.message);
+}
+
+}  // namespace
+
+known_upstream* find_known(slots_state& state, const upstream_id& id) {
+    const auto found = state.known.find(id);
+    return found == state.known.end() ? nullptr : &found->second;
+}
+
+const std::optional<member>& home_of_upstream(const roster_state& roster,
+                                              known_upstream& upstream) {
+    const generation_number newest = generation(roster);
+    if (!upstream.home || upstream.home_generation != newest) {
+        upstream.home = home_of(roster, home_key(upstream.id));
+        upstream.home_generation = newest;
+    }
+    return upstream.home;
+}
+
+slot_book* own_book(slots_context& context, known_upstream& upstream) {
+    const auto& home = home_of_upstream(context.roster, upstream);
+    if (!home || home->id != context.env.self.id) {
+        context.state.books.erase(upstream.id);
+        return nullptr;
+    }
+    slot_book& book = context.state.books[upstream.id];
+    const instant since = book.held.since;
+    const bool was_home = book.held.through != 0;
+    renew_tenure(book.held, context.roster, home_key(upstream.id), context.now);
+    if (was_home && book.held.since != since) {
+        const tenure renewed = book.held;
+        book = slot_book{};
+        book.held = renewed;
+    }
+    return &book;
+}
+
+bool may_act_for(const slots_context& context, const upstream_id& upstream) {
+    return may_act(context.roster, context.env, home_key(upstream), context.now);
+}
+
+}  // namespace detail
+
+slots_state make_slots() {
+    return {};
+}
+
+void reduce_slots(slots_state& state, const environment& env, const roster_state& roster,
+                  const documents_state& documents, const event& happened, instant now,
+                  effects& out) {
+    detail::slots_context context{state, env, roster, documents, now, out};
+    std::visit(
+        overloaded{
+            [&](const tick&) { detail::handle_tick(context); },
+            [&](const instances_listed& list) { detail::handle_list(context, list); },
+            [&](const upstream_polled& polled) { detail::handle_poll(context, polled); },
+            [&](const attempt_ended& ended) { detail::handle_attempt_end(context, ended); },
+            [&](const peer_message_received& received) {
+                detail::handle_message(context, received);
+            },
+            [](const auto&) {},
+        },
+        happened);
+}
+
+bool needs_slot(const known_upstream& upstream, const environment& env, instant now) {
+    if (!upstream.warm) {
+        return true;
+    }
+    const milliseconds vouch = env.timing.vouch;
+    if (now - upstream.warm_heard_at <= vouch) {
+        return false;
+    }
+    const bool home_lately =
+        now - upstream.warm_heard_at <= detail::longest_warm_vouches * vouch;
+    return !(home_lately && now - upstream.warm_response_at <= vouch);
+}
+
+bool ask_slot(const slots_state& state, const environment& /*env*/, const roster_state& roster,
+              slot_request request, effects& out) {
+    if (!state.known.contains(request.upstream)) {
+        return false;
+    }
+    const auto home = home_of(roster, home_key(request.upstream));
+    if (!home) {
+        return false;
+    }
+    out.emplace_back(send_to_peer{*home, std::move(request)});
+    return true;
+}
+
+void release_slot(const slots_state& /*state*/, const roster_state& roster,
+                  const upstream_id& upstream, const attempt_id& slot, effects& out) {
+    const auto home = home_of(roster, home_key(upstream));
+    if (home) {
+        out.emplace_back(send_to_peer{*home, slot_release{upstream, slot}});
+    }
+}
+
+bool is_leaving(const known_upstream& upstream) {
+    return upstream.listed_leaving || upstream.report.condition == upstream_condition::leaving;
+}
+
+void note_attempt(slots_state& state, attempt_id attempt, running_attempt value) {
+    known_upstream* known = detail::find_known(state, value.upstream);
+    if (known != nullptr) {
+        value.incarnation = known->report.incarnation;
+        ++known->running;
+    }
+    state.running[std::move(attempt)] = std::move(value);
+}
+
+std::string home_key(const upstream_id& upstream) {
+    return "upstream/" + upstream.value;
+}
+
+}  // namespace cyclamenmount
