--- a/src/coordination/dispatch/dispatch.h
+++ b/src/coordination/dispatch/dispatch.h
@@ -13,8 +13,12 @@
     instant asked_at;
     instant deadline;
     bool trial_granted{false};
+    std::optional<instant> trial_asked_at;
+    int trial_asks{0};
     std::optional<upstream_id> slot_asked;  //!< waiting for this upstream's home
+    attempt_id slot;                        //!< name of the slot asked for, unique to the question
     instant slot_asked_at;
+    int slot_asks{0};
 };
 
 //! An attempt that has been granted and hasn't ended.
@@ -29,7 +33,7 @@
 struct dispatch_state {
     std::map<attempt_id, pending_attempt> pending;
     std::map<attempt_id, granted_attempt> granted;
-    std::map<upstream_id, int> own_in_flight;
+    std::map<upstream_id, instant> slot_denied_until;
     std::map<pool_name, stage_times> times;  //!< measured stage times
     std::uint64_t random{1};
 };
@@ -41,4 +45,10 @@
                      const quarantine_state& quarantine, const event& happened, instant now,
                      effects& out);
 
+//! Median time of a whole attempt in the pool; 0 if not measured yet.
+milliseconds expected_time(const dispatch_state& state, const pool_name& pool);
+
+//! Time within which nine of ten attempts in the pool end; 0 if not measured yet.
+milliseconds likely_time(const dispatch_state& state, const pool_name& pool);
+
 }  // namespace cyclamenmount
--- a/src/coordination/slots/holdings.cpp
+++ b/src/coordination/slots/holdings.cpp
@@ -48,9 +48,9 @@
             by_deadline.push_back(&value);
         }
     }
-    std::stable_sort(by_deadline.begin(), by_deadline.end(), [](const slot* left, const slot* right) {
-        return left->ends_at > right->ends_at;
-    });
+    std::stable_sort(
+        by_deadline.begin(), by_deadline.end(),
+        [](const slot* left, const slot* right) { return left->ends_at > right->ends_at; });
     const int capacity = cold_capacity_of(context, upstream);
     for (slot* each : by_deadline) {
         if (kept <= capacity) {
@@ -152,8 +152,8 @@
     }
     const auto home = find_member(context.roster, from);
     if (home) {
-        context.out.emplace_back(send_to_peer{
-            *home, own_holdings(context, request.upstream, request.generation)});
+        context.out.emplace_back(
+            send_to_peer{*home, own_holdings(context, request.upstream, request.generation)});
     }
 }
 
--- a/src/coordination/slots/home.cpp
+++ b/src/coordination/slots/home.cpp
@@ -43,10 +43,8 @@
 
 void grant(slots_context& context, slot_book& book, const instance_id& to,
            const slot_request& request) {
-    const instant ends_at =
-        context.now + request.lasts_at_most + context.env.timing.fence_margin;
-    book.slots[request.attempt] =
-        slot{request.attempt, to, ends_at, context.now, false, false};
+    const instant ends_at = context.now + request.lasts_at_most + context.env.timing.fence_margin;
+    book.slots[request.attempt] = slot{request.attempt, to, ends_at, context.now, false, false};
     reply(context, to, request, true);
 }
 
@@ -156,8 +154,7 @@
         return report;
     }
     report.condition = upstream_condition::cold;
-    report.in_flight =
-        static_cast<int>(book.slots.size() + book.waiting.size()) + book.unaccounted;
+    report.in_flight = static_cast<int>(book.slots.size() + book.waiting.size()) + book.unaccounted;
     return report;
 }
 
--- a/src/coordination/slots/slots.cpp
+++ b/src/coordination/slots/slots.cpp
@@ -1,6 +1,7 @@
 #include "coordination/slots/slots.h"
 
 #include "coordination/slots/internal/parts.h"
+#include "routing/choose.h"
 #include "types/overloaded.h"
 
 #include <algorithm>
@@ -25,6 +26,7 @@
     known.pool = pool_name{listed.role};
     known.address = listed.address;
     known.zone = listed.zone;
+    known.subset_weight = subset_weight(context.env.self.id.value, id);
     known.listed_leaving = listed.leaving;
 }
 
@@ -146,18 +148,17 @@
                   const documents_state& documents, const event& happened, instant now,
                   effects& out) {
     detail::slots_context context{state, env, roster, documents, now, out};
-    std::visit(
-        overloaded{
-            [&](const tick&) { detail::handle_tick(context); },
-            [&](const instances_listed& list) { detail::handle_list(context, list); },
-            [&](const upstream_polled& polled) { detail::handle_poll(context, polled); },
-            [&](const attempt_ended& ended) { detail::handle_attempt_end(context, ended); },
-            [&](const peer_message_received& received) {
-                detail::handle_message(context, received);
-            },
-            [](const auto&) {},
-        },
-        happened);
+    std::visit(overloaded{
+                   [&](const tick&) { detail::handle_tick(context); },
+                   [&](const instances_listed& list) { detail::handle_list(context, list); },
+                   [&](const upstream_polled& polled) { detail::handle_poll(context, polled); },
+                   [&](const attempt_ended& ended) { detail::handle_attempt_end(context, ended); },
+                   [&](const peer_message_received& received) {
+                       detail::handle_message(context, received);
+                   },
+                   [](const auto&) {},
+               },
+               happened);
 }
 
 bool needs_slot(const known_upstream& upstream, const environment& env, instant now) {
@@ -168,8 +169,7 @@
     if (now - upstream.warm_heard_at <= vouch) {
         return false;
     }
-    const bool home_lately =
-        now - upstream.warm_heard_at <= detail::longest_warm_vouches * vouch;
+    const bool home_lately = now - upstream.warm_heard_at <= detail::longest_warm_vouches * vouch;
     return !(home_lately && now - upstream.warm_response_at <= vouch);
 }
 
--- a/src/coordination/slots/slots.h
+++ b/src/coordination/slots/slots.h
@@ -25,16 +25,17 @@
     pool_name pool;
     std::string address;
     zone_name zone;
+    std::uint64_t subset_weight{0};  //!< in this instance's subset of a large pool
     bool listed_leaving{false};
-    upstream_report report;  //!< newest, from its home, a response or a poll
+    upstream_report report;                      //!< newest, from its home, a response or a poll
     std::vector<std::string> past_incarnations;  //!< replaced ones, newest last, bounded
-    bool warm{false};                            //!< declared warm by its home, for this incarnation
+    bool warm{false};  //!< declared warm by its home, for this incarnation
     instant warm_since;
-    instant warm_heard_at;                       //!< when its home last said so
-    instant warm_response_at;                    //!< when a response last said so
-    instant warm_not_before;                     //!< verdicts of warmth until then are too old
-    generation_number verdict_generation{0};     //!< newest seen in a message of its home
-    std::optional<member> home;                  //!< under `home_generation`
+    instant warm_heard_at;                    //!< when its home last said so
+    instant warm_response_at;                 //!< when a response last said so
+    instant warm_not_before;                  //!< verdicts of warmth until then are too old
+    generation_number verdict_generation{0};  //!< newest seen in a message of its home
+    std::optional<member> home;               //!< under `home_generation`
     generation_number home_generation{0};
     int running{0};            //!< attempts granted here and not ended
     int running_at_report{0};  //!< those as `report` was made
@@ -68,9 +69,9 @@
     tenure held;
     home_verdict verdict{home_verdict::unknown};
     instant cold_since;
-    instant sign_at;  //!< of the last sign of cold; older polls don't count
-    std::set<instance_id> not_yet_reported;     //!< members whose holdings aren't known
-    std::map<instance_id, instant> asked;       //!< oldest unanswered question for holdings
+    instant sign_at;                         //!< of the last sign of cold; older polls don't count
+    std::set<instance_id> not_yet_reported;  //!< members whose holdings aren't known
+    std::map<instance_id, instant> asked;    //!< oldest unanswered question for holdings
     std::map<attempt_id, slot> slots;
     std::deque<instant> released;  //!< lately, for comparison with the upstream's own count
     std::deque<waiting_slot_request> waiting;
@@ -114,8 +115,8 @@
               slot_request request, effects& out);
 
 //! Gives back a slot, or takes a request for one out of the home's queue.
-void release_slot(const slots_state& state, const roster_state& roster,
-                  const upstream_id& upstream, const attempt_id& slot, effects& out);
+void release_slot(const slots_state& state, const roster_state& roster, const upstream_id& upstream,
+                  const attempt_id& slot, effects& out);
 
 //! True if the upstream is about to go; nothing new may start there.
 bool is_leaving(const known_upstream& upstream);
--- a/src/coordination/slots/verdicts.cpp
+++ b/src/coordination/slots/verdicts.cpp
@@ -23,8 +23,8 @@
             context.out.emplace_back(send_to_peer{each, notice});
         }
     }
-    context.out.emplace_back(
-        log_line{severity::info, part::slots, "Upstream " + upstream.id.value + " is cold: " + sign + "."});
+    context.out.emplace_back(log_line{severity::info, part::slots,
+                                      "Upstream " + upstream.id.value + " is cold: " + sign + "."});
 }
 
 void take_load(known_upstream& upstream, const upstream_report& report) {
@@ -52,8 +52,7 @@
     }
 }
 
-void take_verdict(slots_context& context, known_upstream& upstream,
-                  const upstream_report& report) {
+void take_verdict(slots_context& context, known_upstream& upstream, const upstream_report& report) {
     if (!take_incarnation(upstream, report.incarnation)) {
         return;
     }
