Pipelines, service calls and the callers' listener

Upstream attempts are covered by a table of faults on real sockets; pipelines and callers have no tests yet.

--- /dev/null
+++ b/src/callers/caller_server.cpp
@@ -0,0 +1,199 @@
+#include "callers/caller_server.h"
+
+#include "callers/internal/serving.h"
+
+#include <array>
+#include <thread>
+
+#include <civetweb.h>
+#include <glog/logging.h>
+
+namespace cyclamenmount {
+
+using detail::http_exchange;
+using detail::running_guard;
+using detail::serving;
+
+namespace {
+
+constexpr int threads_for_refusals = 8;
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+constexpr auto end_poll_period = 10ms;
+
+refusal refuse(refusal_reason reason, std::string detail, std::string place) {
+    return {reason, execution::not_run, std::move(detail), std::move(place), {}};
+}
+
+//! Part of `path` between a start and an end; none if it has others.
+std::optional<std::string_view> between(std::string_view path, std::string_view start,
+                                        std::string_view end) {
+    const bool fits =
+        path.starts_with(start) && path.ends_with(end) && path.size() > start.size() + end.size();
+    if (!fits) {
+        return std::nullopt;
+    }
+    path.remove_prefix(start.size());
+    path.remove_suffix(end.size());
+    return path;
+}
+
+void route_work(serving& shared, http_exchange& http) {
+    const std::string_view path = http.path();
+    if (const auto key = between(path, "/v1/requests/", "/frames"); key && http.method() == "GET") {
+        serve_frames(shared, http, *key);
+        return;
+    }
+    if (const auto name = between(path, "/v1/pipelines/", ""); name && http.method() == "POST") {
+        serve_pipeline(shared, http, *name);
+        return;
+    }
+    const auto service = between(path, "/v1/services/", "");
+    const auto slash = service ? service->find('/') : std::string_view::npos;
+    if (slash != std::string_view::npos && http.method() == "POST") {
+        serve_service(shared, http, service->substr(0, slash), service->substr(slash + 1));
+        return;
+    }
+    http.send_problem(refuse(refusal_reason::unknown_target, "no such resource", "path"));
+}
+
+void route(serving& shared, http_exchange& http) {
+    if (http.path() == "/livez") {
+        http.send_json(status_ok, "{}");
+        return;
+    }
+    const bool ready = !shared.stopping && shared.with.control.ready();
+    if (http.path() == "/readyz") {
+        http.send_json(ready ? status_ok : status_unavailable, "{}");
+        return;
+    }
+    const running_guard counted(shared);
+    if (shared.stopping) {
+        http.send_problem(refuse(refusal_reason::stopping, "this instance takes no more", {}));
+        return;
+    }
+    if (!ready) {
+        http.send_problem(refuse(refusal_reason::not_ready, "this instance isn't ready", {}));
+        return;
+    }
+    if (counted.number() > 2 * shared.settings.concurrent) {
+        refusal why = refuse(refusal_reason::overloaded, "too many requests at once", {});
+        why.retry_after = 1000ms;
+        http.send_problem(why);
+        return;
+    }
+    route_work(shared, http);
+}
+
+int on_request(mg_connection* connection) {
+    auto& shared = *static_cast<serving*>(mg_get_request_info(connection)->user_data);
+    http_exchange http(connection);
+    try {
+        route(shared, http);
+    } catch (const std::exception& failed) {
+        LOG(ERROR) << "callers: request failed: " << failed.what();
+        if (!http.streaming()) {
+            http.send_problem({refusal_reason::internal, execution::may_have_run, {}, {}, {}});
+        }
+    }
+    return status_ok;
+}
+
+//! CivetWeb refuses what it can't parse; the caller gets a problem all the same.
+int on_http_error(mg_connection* connection, int status, const char* /*message*/) {
+    http_exchange http(connection);
+    const bool too_large = status == 413 || status == 414 || status == 431;
+    http.send_problem(refuse(too_large ? refusal_reason::too_large : refusal_reason::malformed,
+                             "the request can't be parsed", "head"));
+    return 0;
+}
+
+int on_message(const mg_connection* /*connection*/, const char* message) {
+    VLOG(1) << "callers: " << message;
+    return 1;
+}
+
+}  // namespace
+
+struct caller_server::impl {
+    impl(caller_settings settings, caller_dependencies with)
+        : shared{std::move(settings), std::move(with)} {}
+
+    ~impl() {
+        shared.stopping = true;
+        while (shared.running > 0) {
+            std::this_thread::sleep_for(end_poll_period);
+        }
+        if (context != nullptr) {
+            mg_stop(context);
+        }
+    }
+
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+    impl(impl&&) = delete;
+    impl& operator=(impl&&) = delete;
+
+    bool listen() {
+        const std::string threads =
+            std::to_string(shared.settings.concurrent + threads_for_refusals);
+        const std::string timeout = std::to_string(shared.settings.read_timeout.count());
+        const std::array<const char*, 13> options{"listening_ports",
+                                                  shared.settings.address.c_str(),
+                                                  "num_threads",
+                                                  threads.c_str(),
+                                                  "request_timeout_ms",
+                                                  timeout.c_str(),
+                                                  "enable_keep_alive",
+                                                  "no",
+                                                  "tcp_nodelay",
+                                                  "1",
+                                                  "listen_backlog",
+                                                  "512",
+                                                  nullptr};
+        mg_callbacks callbacks{};
+        callbacks.begin_request = &on_request;
+        callbacks.http_error = &on_http_error;
+        callbacks.log_message = &on_message;
+        static const unsigned initialised = mg_init_library(MG_FEATURES_DEFAULT);
+        static_cast<void>(initialised);
+        context = mg_start(&callbacks, &shared, const_cast<const char**>(options.data()));
+        return context != nullptr;
+    }
+
+    serving shared;
+    mg_context* context{nullptr};
+};
+
+caller_server::caller_server(std::unique_ptr<impl> implementation)
+    : impl_(std::move(implementation)) {}
+
+caller_server::~caller_server() = default;
+
+result<std::unique_ptr<caller_server>> caller_server::start(caller_settings settings,
+                                                            caller_dependencies dependencies) {
+    auto made = std::make_unique<impl>(std::move(settings), std::move(dependencies));
+    if (!made->listen()) {
+        return error{error_kind::system, "the callers' listener can't be opened"};
+    }
+    return std::unique_ptr<caller_server>(new caller_server(std::move(made)));
+}
+
+int caller_server::port() const {
+    mg_server_port ports{};
+    return mg_get_server_ports(impl_->context, 1, &ports) > 0 ? ports.port : 0;
+}
+
+void caller_server::stop_accepting() {
+    impl_->shared.stopping = true;
+}
+
+bool caller_server::drained() const {
+    return running() == 0;
+}
+
+int caller_server::running() const {
+    return impl_->shared.running;
+}
+
+}  // namespace cyclamenmount
--- a/src/upstreams/answer_reader.cpp
+++ b/src/upstreams/answer_reader.cpp
@@ -35,7 +35,8 @@
 
 bool has_text(const json& object, const char* name, const std::string& wanted) {
     const auto found = object.find(name);
-    return found != object.end() && found->is_string() && found->get_ref<const std::string&>() == wanted;
+    return found != object.end() && found->is_string() &&
+           found->get_ref<const std::string&>() == wanted;
 }
 
 const std::string* text_of(const json& object, const char* name) {
@@ -219,8 +220,8 @@
     if (!is_stream(reader, call)) {
         return true;
     }
-    reader.fault = echo_matches(reader.echo, call) ? read_lines(reader, call)
-                                                   : attempt_fault::misdirected;
+    reader.fault =
+        echo_matches(reader.echo, call) ? read_lines(reader, call) : attempt_fault::misdirected;
     return reader.fault == attempt_fault::none;
 }
 
--- a/src/upstreams/attempt_call.h
+++ b/src/upstreams/attempt_call.h
@@ -18,9 +18,9 @@
     upstream_id upstream;
     std::string address;  //!< IP:PORT
     pool_kind kind{pool_kind::stage};
-    std::string input;   //!< text; of a service call the JSON body as the caller sent it
-    int max_tokens{0};   //!< engines only
-    int resume_from{0};  //!< engines only: index of the first token wanted
+    std::string input;    //!< text; of a service call the JSON body as the caller sent it
+    int max_tokens{0};    //!< engines only
+    int resume_from{0};   //!< engines only: index of the first token wanted
     idempotency_key key;  //!< non-idempotent service calls only
 
     instant start_before;  //!< nothing is sent at or after this
@@ -30,20 +30,20 @@
 //! What was wrong with an attempt.
 enum class attempt_fault {
     none,
-    window_passed,     //!< nothing was sent: the start window or the deadline had passed
-    connect_failed,    //!< nothing was sent: no connection
-    refused_not_run,   //!< 503 before any work
-    error_status,      //!< an error answer
-    misdirected,       //!< the answer belongs to another request, stage or attempt
-    duplicate_token,   //!< a token index came twice
-    out_of_order,      //!< a token index was skipped
-    truncated,         //!< the answer ended before it was whole
-    malformed,         //!< the answer can't be parsed
-    too_large,         //!< the answer is over the limit
-    connection_lost,   //!< reset or closed in the middle
-    silent,            //!< no progress within the limit
-    deadline_passed,   //!< ended at the deadline
-    cancelled,         //!< ended by us
+    window_passed,    //!< nothing was sent: the start window or the deadline had passed
+    connect_failed,   //!< nothing was sent: no connection
+    refused_not_run,  //!< 503 before any work
+    error_status,     //!< an error answer
+    misdirected,      //!< the answer belongs to another request, stage or attempt
+    duplicate_token,  //!< a token index came twice
+    out_of_order,     //!< a token index was skipped
+    truncated,        //!< the answer ended before it was whole
+    malformed,        //!< the answer can't be parsed
+    too_large,        //!< the answer is over the limit
+    connection_lost,  //!< reset or closed in the middle
+    silent,           //!< no progress within the limit
+    deadline_passed,  //!< ended at the deadline
+    cancelled,        //!< ended by us
 };
 
 //! Short name for logs and details.
@@ -53,10 +53,10 @@
 struct attempt_result {
     attempt_outcome outcome{attempt_outcome::not_started};
     attempt_fault fault{attempt_fault::none};
-    bool sent{false};  //!< the request may have reached the upstream
-    int status{0};     //!< HTTP status; 0 if none came
-    std::string output;  //!< of stages and services
-    int tokens{0};       //!< accepted from a stream
+    bool sent{false};      //!< the request may have reached the upstream
+    int status{0};         //!< HTTP status; 0 if none came
+    std::string output;    //!< of stages and services
+    int tokens{0};         //!< accepted from a stream
     milliseconds busy{0};  //!< as the upstream told
     milliseconds took{0};
     milliseconds first_token{0};  //!< 0 if none came
--- a/src/upstreams/canceller.cpp
+++ b/src/upstreams/canceller.cpp
@@ -79,8 +79,7 @@
     add_header(value.headers, "Content-Type: application/json");
     add_header(value.headers, "X-Request-Id: " + order->request.value);
     add_header(value.headers, "X-Attempt: " + order->attempt.value);
-    const nlohmann::json body{{"request", order->request.value},
-                              {"attempt", order->attempt.value}};
+    const nlohmann::json body{{"request", order->request.value}, {"attempt", order->attempt.value}};
     value.body = body.dump();
     CURL* easy = value.easy.get();
     curl_easy_setopt(easy, CURLOPT_URL, ("http://" + order->address + "/v1/cancel").c_str());
--- a/src/upstreams/grant_guard.h
+++ b/src/upstreams/grant_guard.h
@@ -26,8 +26,7 @@
     grant_guard& operator=(const grant_guard&) = delete;
 
     grant_guard(grant_guard&& other) noexcept
-        : post_(std::exchange(other.post_, nullptr)), ended_(std::move(other.ended_)) {
-    }
+        : post_(std::exchange(other.post_, nullptr)), ended_(std::move(other.ended_)) {}
 
     grant_guard& operator=(grant_guard&&) = delete;
 
--- /dev/null
+++ b/src/upstreams/tests/upstream_client_tests.cpp
@@ -0,0 +1,356 @@
+// Contract of the interface to upstreams, with faults on real sockets.
+#include "upstreams/tests/scripted_upstream.h"
+#include "upstreams/upstream_client.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cyclamenmount;
+using namespace cyclamenmount::testing;
+
+namespace {
+
+const bool leaks_unchecked = [] {
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    return true;
+}();
+
+//! Keeps what was posted.
+struct posted_events {
+    void add(const event& happened) {
+        const std::lock_guard lock(mutex);
+        if (const auto* ended = std::get_if<attempt_ended>(&happened)) {
+            ends.push_back(*ended);
+        }
+    }
+
+    std::vector<attempt_ended> all() {
+        const std::lock_guard lock(mutex);
+        return ends;
+    }
+
+    std::mutex mutex;
+    std::vector<attempt_ended> ends;
+};
+
+upstream_client_settings quick_settings() {
+    upstream_client_settings settings;
+    settings.stream_silence = 150ms;
+    return settings;
+}
+
+attempt_call call_to(const std::string& address, pool_kind kind) {
+    attempt_call call;
+    call.attempt.value = "a1";
+    call.request.value = "r1";
+    call.stage.value = "s1";
+    call.upstream.value = "u1";
+    call.address = address;
+    call.kind = kind;
+    call.input = kind == pool_kind::service ? R"({"x":1})" : "hello";
+    call.max_tokens = 16;
+    call.start_before = boot_clock::now() + 5000ms;
+    call.deadline = boot_clock::now() + 5000ms;
+    return call;
+}
+
+struct ended_attempt {
+    attempt_result result;
+    std::vector<received_token> tokens;
+};
+
+ended_attempt run_call(upstream_client& client, posted_events& posted, attempt_call call) {
+    attempt_group group(client);
+    ended_attempt all;
+    grant_guard guard([&posted](const event& happened) { posted.add(happened); }, call.attempt,
+                      call.upstream);
+    group.add(std::move(call), std::move(guard));
+    for (;;) {
+        for (attempt_news& news : group.wait(100ms)) {
+            std::ranges::copy(news.tokens, std::back_inserter(all.tokens));
+            if (news.end) {
+                all.result = *news.end;
+                return all;
+            }
+        }
+    }
+}
+
+struct fault_case {
+    const char* name;
+    pool_kind kind;
+    upstream_script script;
+    attempt_outcome outcome;
+    attempt_fault fault;
+    std::size_t tokens;
+};
+
+using request = upstream_request;
+using reply = reply_socket;
+
+void stream_with(const request& asked, const reply& to, std::initializer_list<int> indexes,
+                 int count) {
+    begin_stream(asked, to);
+    for (const int index : indexes) {
+        send_token(asked, to, index);
+    }
+    send_done(asked, to, count);
+    end_stream(to);
+}
+
+void send_foreign(request asked, const reply& to, const char* header) {
+    asked.headers[header] = "other";
+    send_output(asked, to, "x");
+}
+
+const std::vector<fault_case>& fault_cases() {
+    using enum attempt_outcome;
+    using f = attempt_fault;
+    constexpr auto stage = pool_kind::stage;
+    constexpr auto engine = pool_kind::engine;
+    static const std::vector<fault_case> cases{
+        {"right output", stage, [](const request& r, const reply& s) { send_output(r, s, "out"); },
+         ok, f::none, 0},
+        {"right stream", engine, [](const request& r, const reply& s) { stream_tokens(r, s, 4); },
+         ok, f::none, 4},
+        {"refused before work", stage, send_not_run, refused, f::refused_not_run, 0},
+        {"engine refused", engine, send_not_run, refused, f::refused_not_run, 0},
+        {"503 without a statement", stage,
+         [](const request& r, const reply& s) { send_whole(r, s, 503, "{}"); }, failed,
+         f::error_status, 0},
+        {"500", stage, [](const request& r, const reply& s) { send_whole(r, s, 500, "{}"); },
+         failed, f::error_status, 0},
+        {"another request's", stage,
+         [](const request& r, const reply& s) { send_foreign(r, s, "x-request-id"); }, failed,
+         f::misdirected, 0},
+        {"another stage's", stage,
+         [](const request& r, const reply& s) { send_foreign(r, s, "x-stage"); }, failed,
+         f::misdirected, 0},
+        {"another attempt's", stage,
+         [](const request& r, const reply& s) { send_foreign(r, s, "x-attempt"); }, failed,
+         f::misdirected, 0},
+        {"right headers, another's body", stage,
+         [](const request& r, const reply& s) {
+             send_whole(r, s, 200, R"({"request":"r2","stage":"s1","attempt":"a1","output":"x"})");
+         },
+         failed, f::misdirected, 0},
+        {"refusal of another attempt", stage,
+         [](request r, const reply& s) {
+             r.headers["x-attempt"] = "other";
+             send_not_run(r, s);
+         },
+         failed, f::misdirected, 0},
+        {"no JSON", stage, [](const request& r, const reply& s) { send_whole(r, s, 200, "<a>"); },
+         failed, f::malformed, 0},
+        {"no output", stage,
+         [](const request& r, const reply& s) { send_whole(r, s, 200, echo_body(r).dump()); },
+         failed, f::malformed, 0},
+        {"token line of another request", engine,
+         [](request r, const reply& s) {
+             begin_stream(r, s);
+             send_token(r, s, 0);
+             r.headers["x-request-id"] = "other";
+             send_token(r, s, 1);
+         },
+         failed, f::misdirected, 1},
+        {"duplicate token", engine,
+         [](const request& r, const reply& s) {
+             stream_with(r, s, {0, 1, 1, 2}, 3);
+         },
+         failed, f::duplicate_token, 2},
+        {"reordered tokens", engine,
+         [](const request& r, const reply& s) {
+             stream_with(r, s, {0, 2, 1}, 3);
+         },
+         failed, f::out_of_order, 1},
+        {"missing first token", engine,
+         [](const request& r, const reply& s) {
+             stream_with(r, s, {1, 2}, 3);
+         },
+         failed, f::out_of_order, 0},
+        {"fewer tokens than told", engine,
+         [](const request& r, const reply& s) {
+             stream_with(r, s, {0, 1}, 3);
+         },
+         failed, f::truncated, 2},
+        {"no done line", engine,
+         [](const request& r, const reply& s) {
+             begin_stream(r, s);
+             send_token(r, s, 0);
+             end_stream(s);
+         },
+         failed, f::truncated, 1},
+        {"more after the done line", engine,
+         [](const request& r, const reply& s) {
+             begin_stream(r, s);
+             send_token(r, s, 0);
+             send_done(r, s, 1);
+             send_token(r, s, 1);
+             end_stream(s);
+         },
+         failed, f::malformed, 1},
+        {"closed in the stream", engine,
+         [](const request& r, const reply& s) {
+             begin_stream(r, s);
+             send_token(r, s, 0);
+         },
+         died, f::connection_lost, 1},
+        {"closed in the body", stage,
+         [](const request& r, const reply& s) {
+             s.send(answer_head(r, 200, "Content-Length: 100\r\n") + "{");
+         },
+         died, f::connection_lost, 0},
+        {"closed without an answer", stage, [](const request&, const reply&) {}, died,
+         f::connection_lost, 0},
+        {"reset", stage, [](const request&, const reply& s) { s.reset(); }, died,
+         f::connection_lost, 0},
+        {"not HTTP", stage, [](const request&, const reply& s) { s.send("hello\r\n\r\n"); }, died,
+         f::connection_lost, 0},
+        {"silent from the start", stage, [](const request&, const reply& s) { s.stay_silent(); },
+         timed_out, f::silent, 0},
+        {"silent in the stream", engine,
+         [](const request& r, const reply& s) {
+             begin_stream(r, s);
+             send_token(r, s, 0);
+             s.stay_silent();
+         },
+         timed_out, f::silent, 1},
+    };
+    return cases;
+}
+
+}  // namespace
+
+TEST_GROUP(upstream_client) {
+    posted_events posted;
+    std::unique_ptr<upstream_client> client =
+        std::move(upstream_client::start(quick_settings()).value());
+
+    void restart(upstream_client_settings settings) {
+        client.reset();
+        client = std::move(upstream_client::start(settings).value());
+    }
+};
+
+TEST(upstream_client, an_answer_is_accepted_only_if_whole_and_its_own) {
+    for (const fault_case& one : fault_cases()) {
+        // GIVEN an upstream that answers so
+        scripted_upstream upstream(one.script);
+        posted.ends.clear();
+
+        // WHEN it is called
+        const ended_attempt ended =
+            run_call(*client, posted, call_to(upstream.address(), one.kind));
+
+        // THEN the attempt ends as it should
+        STRCMP_EQUAL_TEXT(name_of(one.fault), name_of(ended.result.fault), one.name);
+        CHECK_TEXT(one.outcome == ended.result.outcome, one.name);
+        CHECK_TEXT(ended.result.sent, one.name);
+        UNSIGNED_LONGS_EQUAL_TEXT(one.tokens, ended.tokens.size(), one.name);
+        // THEN it ends once towards the control thread, whatever became of it
+        restart(quick_settings());
+        UNSIGNED_LONGS_EQUAL_TEXT(1, posted.all().size(), one.name);
+        CHECK_TEXT(one.outcome == posted.all().front().outcome, one.name);
+    }
+}
+
+TEST(upstream_client, nothing_is_sent_after_the_start_window) {
+    // GIVEN a grant whose window has passed
+    scripted_upstream upstream([](const request& r, const reply& s) { send_output(r, s, "out"); });
+    attempt_call late = call_to(upstream.address(), pool_kind::stage);
+    late.start_before = boot_clock::now();
+
+    // WHEN it is used
+    const ended_attempt ended = run_call(*client, posted, late);
+
+    // THEN nothing has left, and the attempt counts as not started
+    CHECK(ended.result.outcome == attempt_outcome::not_started);
+    CHECK_FALSE(ended.result.sent);
+    UNSIGNED_LONGS_EQUAL(0, upstream.requests().size());
+    CHECK(posted.all().at(0).outcome == attempt_outcome::not_started);
+}
+
+TEST(upstream_client, no_listener_counts_as_refused_and_nothing_sent) {
+    // GIVEN an address that nobody listens at
+    std::string address;
+    {
+        scripted_upstream gone([](const request&, const reply&) {});
+        address = gone.address();
+    }
+
+    // WHEN it is called
+    const ended_attempt ended = run_call(*client, posted, call_to(address, pool_kind::stage));
+
+    // THEN it is certain that nothing ran
+    CHECK(ended.result.outcome == attempt_outcome::refused);
+    CHECK(ended.result.fault == attempt_fault::connect_failed);
+    CHECK_FALSE(ended.result.sent);
+}
+
+TEST(upstream_client, carries_identity_deadline_and_load) {
+    // GIVEN an upstream
+    scripted_upstream upstream([](const request& r, const reply& s) { send_output(r, s, "out"); });
+    attempt_call call = call_to(upstream.address(), pool_kind::service);
+    call.stage.value = "book";
+    call.key.value = "k1";
+
+    // WHEN a call of a service is made
+    const ended_attempt ended = run_call(*client, posted, call);
+
+    // THEN the upstream got the headers of the interface and the caller's body
+    const request got = upstream.requests().at(0);
+    STRCMP_EQUAL("/v1/call/book", got.path.c_str());
+    STRCMP_EQUAL("k1", got.headers.at("idempotency-key").c_str());
+    STRCMP_EQUAL(R"({"x":1})", got.body.c_str());
+    const int left = std::stoi(got.headers.at("x-deadline-ms"));
+    CHECK(left > 0 && left <= 5000);
+    // THEN its load came with the answer
+    STRCMP_EQUAL("u1", ended.result.report.upstream.value.c_str());
+    CHECK(ended.result.report.condition == upstream_condition::warm);
+    LONGS_EQUAL(8, ended.result.report.capacity);
+}
+
+TEST(upstream_client, a_cancelled_attempt_is_ended_at_its_upstream_too) {
+    // GIVEN a stream that goes on
+    scripted_upstream upstream([](const request& r, const reply& s) {
+        begin_stream(r, s);
+        send_token(r, s, 0);
+        s.stay_silent();
+    });
+    {
+        attempt_group group(*client);
+        attempt_call call = call_to(upstream.address(), pool_kind::engine);
+        group.add(call, grant_guard([this](const event& e) { posted.add(e); }, call.attempt,
+                                    call.upstream));
+        while (group.wait(100ms).empty()) {}
+
+        // WHEN it is cancelled
+        group.cancel(call.attempt);
+        LONGS_EQUAL(0, group.running());
+    }
+    while (posted.all().empty()) {
+        std::this_thread::sleep_for(5ms);
+    }
+
+    // THEN its grant ended only after the upstream had the order
+    LONGS_EQUAL(1, upstream.cancels());
+    CHECK(posted.all().at(0).outcome == attempt_outcome::cancelled);
+}
+
+TEST(upstream_client, a_call_that_may_not_be_repeated_waits_for_its_deadline) {
+    // GIVEN a service that is silent, and a call that may run only once
+    scripted_upstream upstream([](const request&, const reply& s) { s.stay_silent(); });
+    attempt_call call = call_to(upstream.address(), pool_kind::service);
+    call.key.value = "k1";
+    call.deadline = boot_clock::now() + 400ms;
+
+    // WHEN it is made
+    const ended_attempt ended = run_call(*client, posted, call);
+
+    // THEN it ends at the deadline, is sent once and never cancelled
+    CHECK(ended.result.fault == attempt_fault::deadline_passed);
+    restart(quick_settings());
+    UNSIGNED_LONGS_EQUAL(1, upstream.requests().size());
+    LONGS_EQUAL(0, upstream.cancels());
+}
--- a/src/upstreams/transfer.cpp
+++ b/src/upstreams/transfer.cpp
@@ -184,8 +184,7 @@
 }
 
 instant transfer::next_check() const {
-    return call_.key.empty() ? std::min(call_.deadline, last_progress_ + silence_)
-                             : call_.deadline;
+    return call_.key.empty() ? std::min(call_.deadline, last_progress_ + silence_) : call_.deadline;
 }
 
 attempt_fault transfer::overdue(instant now) const {
--- a/src/upstreams/upstream_client.cpp
+++ b/src/upstreams/upstream_client.cpp
@@ -16,8 +16,7 @@
 
 struct upstream_client::impl {
     explicit impl(upstream_client_settings wanted)
-        : settings(wanted), cancels(wanted.cancel_timeout) {
-    }
+        : settings(wanted), cancels(wanted.cancel_timeout) {}
 
     multi_handle borrow_connections() {
         const std::lock_guard lock(mutex);
@@ -83,8 +82,7 @@
 };
 
 upstream_client::upstream_client(std::unique_ptr<impl> implementation)
-    : impl_(std::move(implementation)) {
-}
+    : impl_(std::move(implementation)) {}
 
 upstream_client::~upstream_client() = default;
 
@@ -93,8 +91,7 @@
     if (initialised != CURLE_OK) {
         return error{error_kind::system, "libcurl can't be initialised"};
     }
-    return std::unique_ptr<upstream_client>(
-        new upstream_client(std::make_unique<impl>(settings)));
+    return std::unique_ptr<upstream_client>(new upstream_client(std::make_unique<impl>(settings)));
 }
 
 upstream_counters& upstream_client::counters() {
@@ -105,8 +102,7 @@
 
 struct attempt_group::impl {
     explicit impl(upstream_client::impl& owner)
-        : client(owner), multi(owner.borrow_connections()) {
-    }
+        : client(owner), multi(owner.borrow_connections()) {}
 
     using position = std::vector<std::unique_ptr<transfer>>::iterator;
 
@@ -121,10 +117,11 @@
     void release(transfer& ended, const attempt_result& value, bool upstream_may_go_on) {
         grant_guard guard = ended.take_guard(value);
         client.count(value.fault);
-        if (!upstream_may_go_on || !ended.sent()) {
+        const attempt_call& call = ended.call();
+        const bool repeatable = call.key.empty();
+        if (!upstream_may_go_on || !ended.sent() || !repeatable) {
             return;
         }
-        const attempt_call& call = ended.call();
         client.cancels.enqueue(
             {call.address, call.request, call.attempt, call.deadline, std::move(guard)});
     }
@@ -196,8 +193,7 @@
 };
 
 attempt_group::attempt_group(upstream_client& client)
-    : impl_(std::make_unique<impl>(*client.impl_)) {
-}
+    : impl_(std::make_unique<impl>(*client.impl_)) {}
 
 attempt_group::~attempt_group() {
     while (!impl_->running.empty()) {
@@ -207,8 +203,8 @@
 }
 
 void attempt_group::add(attempt_call call, grant_guard guard) {
-    auto made = std::make_unique<transfer>(std::move(call), std::move(guard),
-                                           impl_->client.settings);
+    auto made =
+        std::make_unique<transfer>(std::move(call), std::move(guard), impl_->client.settings);
     ++impl_->client.counters.attempts;
     curl_multi_add_handle(impl_->multi.get(), made->handle());
     impl_->running.push_back(std::move(made));
@@ -224,15 +220,16 @@
     return impl_->step();
 }
 
-void attempt_group::cancel(const attempt_id& attempt) {
+std::optional<attempt_result> attempt_group::cancel(const attempt_id& attempt) {
     const auto found = std::ranges::find_if(
         impl_->running, [&attempt](const auto& value) { return value->call().attempt == attempt; });
     if (found == impl_->running.end()) {
-        return;
+        return std::nullopt;
     }
     const std::unique_ptr<transfer> ended = impl_->detach(found);
-    const attempt_result value = ended->finish(attempt_fault::cancelled);
+    attempt_result value = ended->finish(attempt_fault::cancelled);
     impl_->release(*ended, value, true);
+    return value;
 }
 
 std::size_t attempt_group::running() const {
--- a/src/upstreams/upstream_client.h
+++ b/src/upstreams/upstream_client.h
@@ -59,7 +59,7 @@
     std::vector<attempt_news> wait(milliseconds limit);
 
     //! Ends an attempt: closes its connection and orders the upstream to cancel it.
-    void cancel(const attempt_id& attempt);
+    std::optional<attempt_result> cancel(const attempt_id& attempt);
 
     [[nodiscard]] std::size_t running() const;
 
