--- a/src/upstreams/upstream_client.cpp
+++ b/src/upstreams/upstream_client.cpp
@@ -117,10 +117,11 @@
     void release(transfer& ended, const attempt_result& value, bool upstream_may_go_on) {
         grant_guard guard = ended.take_guard(value);
         client.count(value.fault);
-        if (!upstream_may_go_on || !ended.sent()) {
+        const attempt_call& call = ended.call();
+        const bool repeatable = call.key.empty();
+        if (!upstream_may_go_on || !ended.sent() || !repeatable) {
             return;
         }
-        const attempt_call& call = ended.call();
         client.cancels.enqueue(
             {call.address, call.request, call.attempt, call.deadline, std::move(guard)});
     }
@@ -219,15 +220,16 @@
     return impl_->step();
 }
 
-void attempt_group::cancel(const attempt_id& attempt) {
+std::optional<attempt_result> attempt_group::cancel(const attempt_id& attempt) {
     const auto found = std::ranges::find_if(
         impl_->running, [&attempt](const auto& value) { return value->call().attempt == attempt; });
     if (found == impl_->running.end()) {
-        return;
+        return std::nullopt;
     }
     const std::unique_ptr<transfer> ended = impl_->detach(found);
-    const attempt_result value = ended->finish(attempt_fault::cancelled);
+    attempt_result value = ended->finish(attempt_fault::cancelled);
     impl_->release(*ended, value, true);
+    return value;
 }
 
 std::size_t attempt_group::running() const {
