--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -50,7 +50,7 @@
 }  // namespace
 
 //! Members are in the order in which they start; they end in the reverse order.
-struct daemon::impl {
+struct daemon_process::impl {
     daemon_settings settings;
     environment env;
     metrics numbers;
@@ -74,7 +74,7 @@
     result<bool> start_callers();
 };
 
-effect_handlers daemon::impl::make_handlers() {
+effect_handlers daemon_process::impl::make_handlers() {
     effect_handlers handlers;
     handlers.send = [this](const send_to_peer& wanted) { peers->send(wanted.to, wanted.message); };
     handlers.read = [this](const store_read& wanted) { platform->carry_out(wanted); };
@@ -87,7 +87,7 @@
     return handlers;
 }
 
-std::string daemon::impl::dump() const {
+std::string daemon_process::impl::dump() const {
     nlohmann::json body;
     const bool seen = control->inspect([&body](const control_state& state) {
         body = describe_status(state, boot_clock::now());
@@ -111,7 +111,7 @@
     return body.dump();
 }
 
-std::string daemon::impl::metrics_page() {
+std::string daemon_process::impl::metrics_page() {
     control->inspect([this](const control_state& state) {
         numbers.set_gauge("roster_generation", static_cast<double>(generation(state.roster)));
         numbers.set_gauge("roster_members", static_cast<double>(members(state.roster).size()));
@@ -131,7 +131,7 @@
     return numbers.page();
 }
 
-std::vector<member> daemon::impl::other_members() const {
+std::vector<member> daemon_process::impl::other_members() const {
     std::vector<member> others;
     control->inspect([&](const control_state& state) {
         for (const auto& one : members(state.roster)) {
@@ -143,7 +143,7 @@
     return others;
 }
 
-result<bool> daemon::impl::start_network(const std::string& secret) {
+result<bool> daemon_process::impl::start_network(const std::string& secret) {
     const auto post = [this](event happened) { control->post(std::move(happened)); };
     auto loop = http_loop::start();
     if (loop.has_error()) {
@@ -174,7 +174,7 @@
     return true;
 }
 
-result<bool> daemon::impl::start_operators(const std::string& secret) {
+result<bool> daemon_process::impl::start_operators(const std::string& secret) {
     operator_dependencies needs;
     needs.control = control->client();
     needs.control.dump = [this] { return dump(); };
@@ -192,7 +192,7 @@
     return true;
 }
 
-result<bool> daemon::impl::start_callers() {
+result<bool> daemon_process::impl::start_callers() {
     auto client = upstream_client::start({});
     if (client.has_error()) {
         return client.error();
@@ -223,7 +223,8 @@
     return true;
 }
 
-result<std::unique_ptr<daemon>> daemon::start(daemon_settings settings, daemon_secrets secrets) {
+result<std::unique_ptr<daemon_process>> daemon_process::start(daemon_settings settings,
+                                                              daemon_secrets secrets) {
     auto implementation = std::make_unique<impl>();
     auto& self = *implementation;
     self.env = make_environment(settings);
@@ -238,7 +239,7 @@
         return network.error();
     }
     self.control->run(self.make_handlers());
-    std::unique_ptr<daemon> started(new daemon(std::move(implementation)));
+    std::unique_ptr<daemon_process> started(new daemon_process(std::move(implementation)));
     const auto operators = started->impl_->start_operators(secrets.operators);
     if (operators.has_error()) {
         return operators.error();
@@ -252,9 +253,10 @@
     return started;
 }
 
-daemon::daemon(std::unique_ptr<impl> implementation) : impl_(std::move(implementation)) {}
+daemon_process::daemon_process(std::unique_ptr<impl> implementation)
+    : impl_(std::move(implementation)) {}
 
-daemon::~daemon() {
+daemon_process::~daemon_process() {
     impl_->callers.reset();
     impl_->operators.reset();
     impl_->control->stop();
@@ -263,7 +265,7 @@
     impl_->platform.reset();
 }
 
-bool daemon::drain() {
+bool daemon_process::drain() {
     LOG(INFO) << "daemon: draining.";
     impl_->control->post(stop_wanted{});
     impl_->callers->stop_accepting();
@@ -281,7 +283,7 @@
     return impl_->callers->drained();
 }
 
-std::string daemon::dump() const {
+std::string daemon_process::dump() const {
     return impl_->dump();
 }
 
--- a/src/app/daemon.h
+++ b/src/app/daemon.h
@@ -13,14 +13,15 @@
     std::string operators;
 };
 
-class daemon {
+class daemon_process {
 public:
-    static result<std::unique_ptr<daemon>> start(daemon_settings settings, daemon_secrets secrets);
-    ~daemon();
-    daemon(const daemon&) = delete;
-    daemon& operator=(const daemon&) = delete;
-    daemon(daemon&&) = delete;
-    daemon& operator=(daemon&&) = delete;
+    static result<std::unique_ptr<daemon_process>> start(daemon_settings settings,
+                                                         daemon_secrets secrets);
+    ~daemon_process();
+    daemon_process(const daemon_process&) = delete;
+    daemon_process& operator=(const daemon_process&) = delete;
+    daemon_process(daemon_process&&) = delete;
+    daemon_process& operator=(daemon_process&&) = delete;
 
     //! Leaves the roster, refuses new requests, and waits until everything has ended or the drain
     //! limit has passed. True if nothing was cut off.
@@ -31,7 +32,7 @@
 
 private:
     struct impl;
-    explicit daemon(std::unique_ptr<impl> implementation);
+    explicit daemon_process(std::unique_ptr<impl> implementation);
     std::unique_ptr<impl> impl_;
 };
 
--- a/src/app/daemon_main.cpp
+++ b/src/app/daemon_main.cpp
@@ -53,7 +53,7 @@
 }
 
 //! Writes the state dump on SIGUSR1, returns on SIGTERM and SIGINT.
-void wait_for_stop(const sigset_t& awaited, const daemon& running) {
+void wait_for_stop(const sigset_t& awaited, const daemon_process& running) {
     while (true) {
         int received = 0;
         if (sigwait(&awaited, &received) != 0) {
@@ -79,7 +79,7 @@
         return print_findings(found);
     }
     const auto awaited = block_signals();
-    auto started = daemon::start(settings, {peer_secret.value(), operator_secret.value()});
+    auto started = daemon_process::start(settings, {peer_secret.value(), operator_secret.value()});
     if (started.has_error()) {
         LOG(ERROR) << "daemon: " << started.error().message << '.';
         return exit_code::failed;
