HTTP loop, platform client and upstream control

Short exchanges on one thread with libcurl's multi interface. Each effect ends in one event, also when the loop ends. A write has a connection of its own: libcurl repeats a request by itself when a reused connection closes without an answer, and the repeat of a conditional update that took effect would come back as a conflict. Contract tests run against the stand-ins in process.

--- a/src/http_loop/http_loop.h
+++ b/src/http_loop/http_loop.h
@@ -1,4 +1,8 @@
 //! One thread that carries out short HTTP exchanges with libcurl's multi interface.
+//!
+//! Errors tell what is known of the exchange: `unreachable` if no connection was made and so
+//! nothing was sent, `timeout` if no whole answer came in time, `protocol` if the connection was
+//! closed early or the answer is malformed or too long.
 #pragma once
 
 #include "types/errors.h"
@@ -35,7 +39,8 @@
     http_loop& operator=(http_loop&&) = delete;
 
     //! Never blocks. `done` is called on the loop's thread, exactly once, at the latest when the
-    //! loop ends.
+    //! loop ends. A method other than GET gets a connection of its own: libcurl repeats a request
+    //! by itself when a reused connection closes without an answer.
     void submit(http_request request, std::function<void(result<http_response>)> done);
 
 private:
--- /dev/null
+++ b/src/platform/answers.cpp
@@ -0,0 +1,168 @@
+#include "platform/internal/answers.h"
+
+#include <charconv>
+
+#include <nlohmann/json.hpp>
+
+namespace cyclamenmount::detail {
+
+namespace {
+
+using nlohmann::json;
+
+//! Version in the ETag; none if absent or malformed.
+std::optional<object_version> version_in(const http_response& response) {
+    const auto found = response.headers.find("etag");
+    if (found == response.headers.end()) {
+        return std::nullopt;
+    }
+    std::string_view text = found->second;
+    if (text.size() < 3 || text.front() != '"' || text.back() != '"') {
+        return std::nullopt;
+    }
+    text = text.substr(1, text.size() - 2);
+    object_version version = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return version;
+}
+
+//! Status of an answer that carries nothing else.
+store_status status_of(int http_status) {
+    switch (http_status) {
+    case 404:
+        return store_status::missing;
+    case 412:
+        return store_status::conflict;
+    case 413:
+    case 429:
+        return store_status::refused;
+    default:
+        return store_status::unknown;
+    }
+}
+
+store_status failed_status(const http_result& answer) {
+    return answer ? status_of(answer.value().status) : store_status::unknown;
+}
+
+stored_object object_from(const json& value) {
+    stored_object object;
+    object.key = value.at("key").get<std::string>();
+    object.version = value.at("version").get<object_version>();
+    object.deleted = value.value("deleted", false);
+    object.value = object.deleted ? "" : value.at("value").get<std::string>();
+    return object;
+}
+
+listed_instance instance_from(const json& value) {
+    listed_instance instance;
+    instance.id = value.at("id").get<std::string>();
+    instance.address = value.at("address").get<std::string>();
+    instance.zone = {value.at("zone").get<std::string>()};
+    instance.role = value.at("role").get<std::string>();
+    instance.leaving = value.at("state").get<std::string>() == "leaving";
+    return instance;
+}
+
+}  // namespace
+
+store_replied read_answer(const store_ticket& number, const std::string& key,
+                          const http_result& answer) {
+    store_replied replied{number, failed_status(answer), {}};
+    if (!answer || answer.value().status != 200) {
+        return replied;
+    }
+    const std::optional<object_version> version = version_in(answer.value());
+    if (version.has_value()) {
+        replied.status = store_status::ok;
+        replied.object = {key, *version, answer.value().body, false};
+    }
+    return replied;
+}
+
+store_replied write_answer(const store_ticket& number, const std::string& key,
+                           const http_result& answer) {
+    store_replied replied{number, failed_status(answer), {}};
+    if (!answer) {
+        const bool nothing_sent = answer.error().kind == error_kind::unreachable;
+        replied.status = nothing_sent ? store_status::refused : store_status::unknown;
+        return replied;
+    }
+    const std::optional<object_version> version = version_in(answer.value());
+    if (answer.value().status == 200 && version.has_value()) {
+        replied.status = store_status::ok;
+        replied.object = {key, *version, "", false};
+    } else if (replied.status == store_status::conflict) {
+        replied.object = {key, version.value_or(0), "", false};
+    }
+    return replied;
+}
+
+watch_ended watch_answer(const std::string& prefix, object_version after,
+                         const http_result& answer) {
+    watch_ended ended{prefix, failed_status(answer), after, {}};
+    if (!answer) {
+        return ended;
+    }
+    if (answer.value().status == 304) {
+        ended.status = store_status::ok;
+        return ended;
+    }
+    if (answer.value().status != 200) {
+        return ended;
+    }
+    try {
+        const json body = json::parse(answer.value().body);
+        std::vector<stored_object> objects;
+        for (const json& object : body.at("objects")) {
+            objects.push_back(object_from(object));
+        }
+        ended.revision = body.at("revision").get<object_version>();
+        ended.objects = std::move(objects);
+        ended.status = store_status::ok;
+    } catch (const json::exception&) {
+        ended.status = store_status::unknown;
+    }
+    return ended;
+}
+
+instances_listed list_answer(const http_result& answer) {
+    instances_listed listed{failed_status(answer), {}};
+    if (!answer || answer.value().status != 200) {
+        return listed;
+    }
+    try {
+        const json body = json::parse(answer.value().body);
+        std::vector<listed_instance> instances;
+        for (const json& instance : body.at("instances")) {
+            instances.push_back(instance_from(instance));
+        }
+        listed = {store_status::ok, std::move(instances)};
+    } catch (const json::exception&) {
+        listed.status = store_status::unknown;
+    }
+    return listed;
+}
+
+std::string encode_path(std::string_view text) {
+    static constexpr std::string_view hex = "0123456789ABCDEF";
+    static constexpr std::string_view plain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+                                              "0123456789-._~/";
+    std::string encoded;
+    for (const char c : text) {
+        if (plain.find(c) != std::string_view::npos) {
+            encoded += c;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        encoded += '%';
+        encoded += hex[byte >> 4U];
+        encoded += hex[byte & 15U];
+    }
+    return encoded;
+}
+
+}  // namespace cyclamenmount::detail
--- a/standins/common/exchange.cpp
+++ b/standins/common/exchange.cpp
@@ -17,6 +17,7 @@
 
 constexpr std::size_t read_chunk_bytes = 16384;
 constexpr std::size_t max_query_value_bytes = 2048;
+constexpr int first_descriptor = 3;
 
 std::string lower(std::string text) {
     std::transform(text.begin(), text.end(), text.begin(),
@@ -68,14 +69,18 @@
     return status == 0 && address.sin_family == AF_INET ? ntohs(address.sin_port) : -1;
 }
 
+int end_of_descriptors() {
+    constexpr rlim_t most_descriptors = 20000;
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    return static_cast<int>(std::min(limit.rlim_cur, most_descriptors));
+}
+
 //! CivetWeb doesn't tell a connection's descriptor; its two ports identify it.
 int find_socket(mg_connection* connection) {
     const mg_request_info* info = mg_get_request_info(connection);
-    rlimit limit{};
-    getrlimit(RLIMIT_NOFILE, &limit);
-    constexpr rlim_t most_descriptors = 20000;
-    const int end = static_cast<int>(std::min(limit.rlim_cur, most_descriptors));
-    for (int candidate = 3; candidate < end; ++candidate) {
+    const int end = end_of_descriptors();
+    for (int candidate = first_descriptor; candidate < end; ++candidate) {
         if (port_of(candidate, true) == info->remote_port &&
             port_of(candidate, false) == info->server_port) {
             return candidate;
@@ -161,6 +166,15 @@
     return is_closed(socket());
 }
 
+void shut_down_port(int server_port) {
+    const int end = end_of_descriptors();
+    for (int candidate = first_descriptor; candidate < end; ++candidate) {
+        if (port_of(candidate, false) == server_port) {
+            shutdown(candidate, SHUT_RDWR);
+        }
+    }
+}
+
 bool is_closed(int socket) {
     pollfd watched{socket, POLLRDHUP, 0};
     return socket >= 0 && poll(&watched, 1, 0) > 0 &&
--- a/standins/common/exchange.h
+++ b/standins/common/exchange.h
@@ -28,6 +28,9 @@
 //! Number in a query parameter or header text; `otherwise` if absent or malformed.
 long long number_or(const std::optional<std::string>& text, long long otherwise);
 
+//! Breaks every connection that this process has accepted on the port, and its listener.
+void shut_down_port(int server_port);
+
 //! True if the other end of this socket has closed.
 bool is_closed(int socket);
 
--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -24,6 +24,7 @@
 
 void http_server::stop() {
     if (context_ != nullptr) {
+        shut_down_port(port_);  // wakes CivetWeb's threads, which look up only every 2 s
         mg_stop(context_);
         context_ = nullptr;
     }
@@ -71,6 +72,7 @@
     mg_server_port port{};
     mg_get_server_ports(server->context_, 1, &port);
     const std::string ip = settings.address.substr(0, settings.address.rfind(':'));
+    server->port_ = port.port;
     server->address_ = ip + ":" + std::to_string(port.port);
     return server;
 }
--- a/standins/common/http_server.h
+++ b/standins/common/http_server.h
@@ -43,6 +43,7 @@
 
     handler handle_;
     std::string address_;
+    int port_{0};
     mg_context* context_{nullptr};
 };
 
--- a/standins/upstream/upstream.cpp
+++ b/standins/upstream/upstream.cpp
@@ -89,8 +89,16 @@
             request.path.starts_with("/v1/call/"));
 }
 
+//! True while it has fallen over; then only the judge's own calls are answered.
+bool is_down(shared_state& shared, const incoming_request& request) {
+    const std::lock_guard lock(shared.mutex);
+    return shared.machine.down && request.path.starts_with("/v1/");
+}
+
 void handle(shared_state& shared, exchange& current) {
-    if (is_work(current.request())) {
+    if (is_down(shared, current.request())) {
+        current.abandon();
+    } else if (is_work(current.request())) {
         handle_work(shared, current);
     } else if (current.request().method == "GET") {
         handle_get(shared, current);
