--- /dev/null
+++ b/src/coordination/once/tests/once_fleet.cpp
@@ -0,0 +1,209 @@
+#include "coordination/once/tests/once_fleet.h"
+
+#include <utility>
+
+namespace cyclamenmount::testing {
+
+store_replied fake_store::apply(const store_write& write) {
+    stored_object& object = objects[write.key];
+    if (object.version != write.expected) {
+        return {write.number, store_status::conflict, {}};
+    }
+    object = {write.key, ++revision, write.value, false};
+    return {write.number, store_status::ok, {write.key, revision, {}, false}};
+}
+
+store_replied fake_store::answer(const effect& call) {
+    if (const auto* read = std::get_if<store_read>(&call)) {
+        if (down) {
+            return {read->number, store_status::unknown, {}};
+        }
+        const auto found = objects.find(read->key);
+        if (found == objects.end() || found->second.version == 0) {
+            return {read->number, store_status::missing, {}};
+        }
+        return {read->number, store_status::ok, found->second};
+    }
+    const auto& write = std::get<store_write>(call);
+    store_fault fault = store_fault::none;
+    if (down) {
+        fault = store_fault::lost_before;
+    } else if (!next_writes.empty()) {
+        fault = next_writes.front();
+        next_writes.pop_front();
+    }
+    switch (fault) {
+    case store_fault::none:
+        return apply(write);
+    case store_fault::refused:
+        return {write.number, store_status::refused, {}};
+    case store_fault::lost_after:
+        apply(write);
+        break;
+    case store_fault::late:
+        late.push_back(write);
+        break;
+    case store_fault::lost_before:
+        break;
+    }
+    return {write.number, store_status::unknown, {}};
+}
+
+void fake_store::release_late() {
+    for (const store_write& write : late) {
+        apply(write);
+    }
+    late.clear();
+}
+
+void fleet::post(std::size_t index, const event& happened) {
+    fake_instance& instance = instances[index];
+    if (instance.dead) {
+        return;
+    }
+    effects out;
+    reduce_once(instance.once, instance.env, instance.roster, happened, now, out);
+    for (effect& value : out) {
+        if (auto* message = std::get_if<send_to_peer>(&value)) {
+            messages.push_back({instance.env.self.id, std::move(*message)});
+        } else if (auto* decided = std::get_if<permit_decided>(&value)) {
+            decisions[decided->reply.number] = {index, decided->reply};
+            ++decided_times[decided->reply.number];
+        } else if (!std::holds_alternative<log_line>(value)) {
+            calls.push_back({index, std::move(value)});
+        }
+    }
+}
+
+std::optional<std::size_t> fleet::index_of(const instance_id& id) const {
+    for (std::size_t index = 0; index < instances.size(); ++index) {
+        if (instances[index].env.self.id == id) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+void fleet::deliver(const message_in_flight& message) {
+    if (const auto index = index_of(message.value.to.id)) {
+        post(*index, peer_message_received{message.from, message.value.message});
+    }
+}
+
+void fleet::carry_out(const store_call& call) {
+    post(call.caller, store.answer(call.call));
+}
+
+bool fleet::pump_once() {
+    bool progress = false;
+    for (const message_in_flight& message : std::exchange(messages, {})) {
+        const auto index = index_of(message.value.to.id);
+        if (index && instances[*index].paused) {
+            messages.push_back(message);
+            continue;
+        }
+        deliver(message);
+        progress = true;
+    }
+    for (const store_call& call : std::exchange(calls, {})) {
+        if (instances[call.caller].paused) {
+            calls.push_back(call);
+            continue;
+        }
+        carry_out(call);
+        progress = true;
+    }
+    return progress;
+}
+
+void fleet::pump() {
+    while (pump_once()) {}
+}
+
+void fleet::pass(milliseconds time) {
+    const instant end = now + time;
+    while (now < end) {
+        now += milliseconds(50);
+        for (std::size_t index = 0; index < instances.size(); ++index) {
+            fake_instance& instance = instances[index];
+            if (instance.paused || instance.dead) {
+                continue;
+            }
+            instance.roster =
+                make_settled_roster(instance.env, instance.view, instance.generation, now);
+            post(index, tick{});
+        }
+        pump();
+    }
+}
+
+void fleet::set_view(std::size_t index, const std::vector<std::size_t>& seen,
+                     generation_number generation) {
+    fake_instance& instance = instances[index];
+    instance.view.clear();
+    for (const std::size_t other : seen) {
+        instance.view.push_back(instances[other].env.self);
+    }
+    instance.generation = generation;
+    instance.roster = make_settled_roster(instance.env, instance.view, generation, now);
+}
+
+ticket fleet::ask(std::size_t index, const std::string& key, const std::string& body,
+                  milliseconds waits) {
+    const ticket number = next_number++;
+    post(index, permit_wanted{{number, test_workspace, {key}, {body}, {"booking"}, "book", waits}});
+    return number;
+}
+
+void fleet::end_call(std::size_t index, const std::string& key, ticket number,
+                     call_outcome outcome) {
+    const std::string permit = decisions.at(number).reply.permit;
+    post(index, call_ended{{test_workspace, {key}, permit, std::move(outcome)}});
+}
+
+void fleet::give_back(std::size_t index, const std::string& key, ticket number) {
+    const std::string permit = decisions.at(number).reply.permit;
+    post(index, permit_returned{{test_workspace, {key}, permit}});
+}
+
+bool fleet::is_granted(ticket number) const {
+    const auto found = decisions.find(number);
+    return found != decisions.end() && found->second.reply.verdict == permit_verdict::granted;
+}
+
+permit_verdict fleet::verdict(ticket number) const {
+    return decisions.at(number).reply.verdict;
+}
+
+std::string fleet::key_of_home(std::size_t viewer, std::size_t home) const {
+    for (int number = 0;; ++number) {
+        std::string key = "key-" + std::to_string(number);
+        const std::uint64_t shard = detail::shard_of(test_workspace, {key});
+        const auto found = home_of(instances[viewer].roster, detail::shard_home_key(shard));
+        if (found && found->id == instances[home].env.self.id) {
+            return key;
+        }
+    }
+}
+
+fleet make_fleet(std::size_t size) {
+    fleet all;
+    std::vector<std::size_t> everybody;
+    for (std::size_t index = 0; index < size; ++index) {
+        fake_instance instance;
+        instance.env.self = {{"instance-" + std::to_string(index)}, {}, {"zone"}};
+        all.instances.push_back(std::move(instance));
+        everybody.push_back(index);
+    }
+    for (const std::size_t index : everybody) {
+        all.set_view(index, everybody, 1);
+    }
+    all.pass(milliseconds(500));
+    return all;
+}
+
+std::string object_of(const fleet& all, const std::string& key) {
+    return detail::journal_object(all.instances[0].env, detail::shard_of(test_workspace, {key}));
+}
+
+}  // namespace cyclamenmount::testing
