Roster: bootstrap, joins, leavings, fenced homes

One object per cell holds the generation; changes go through conditional updates and don't stack. Homes act on answers to their own pings, dated by when the ping was sent.

--- /dev/null
+++ b/src/coordination/roster/roster.cpp
@@ -0,0 +1,211 @@
+//! Homes: who is the home of a key, and whether it may act.
+#include "coordination/roster/roster.h"
+
+#include "coordination/roster/internal/liveness.h"
+#include "coordination/roster/internal/membership.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace cyclamenmount {
+
+namespace {
+
+constexpr milliseconds leave_patience{4000};  // without the store, or without a successor
+constexpr milliseconds leave_limit{20000};    // whatever the reason
+
+//! Index of the home among `members`, which must not be empty.
+const member& home_among(std::span<const member> members, std::string_view key) {
+    return *std::ranges::max_element(members, {}, [&](const member& one) {
+        return std::pair(detail::rendezvous_weight(one.id, key), one.id);
+    });
+}
+
+bool is_home(const roster& of, const instance_id& id, std::string_view key) {
+    return !of.members.empty() && home_among(of.members, key).id == id;
+}
+
+//! True if `id` answered a ping sent within `within` and knows no newer generation.
+bool vouches(const roster_state& state, const instance_id& id, milliseconds within, instant now) {
+    if (!detail::is_heard(state, id, within, now)) {
+        return false;
+    }
+    const auto found = state.heard.find(id);
+    return found == state.heard.end() ||
+           found->second.versions.generation <= state.newest.generation;
+}
+
+}  // namespace
+
+namespace detail {
+
+std::uint64_t rendezvous_weight(const instance_id& id, std::string_view key) {
+    const std::uint64_t seed = XXH3_64bits(id.value.data(), id.value.size());
+    return XXH3_64bits_withSeed(key.data(), key.size(), seed);
+}
+
+}  // namespace detail
+
+roster_state make_roster(const environment& env, instant now) {
+    roster_state state;
+    state.self = env.self;
+    state.adopted_at = now;
+    state.next_heartbeat = now;
+    state.next_list = now;
+    state.next_read = now;
+    state.next_write = now;
+    state.started_at = now;
+    state.last_tick = now;
+    state.awake_since = now;
+    return state;
+}
+
+roster_state make_settled_roster(const environment& env, std::span<const member> members,
+                                 generation_number generation, instant now) {
+    roster_state state = make_roster(env, now);
+    state.newest.generation = generation;
+    state.newest.settled = true;
+    state.newest.members.assign(members.begin(), members.end());
+    std::ranges::sort(state.newest.members, {}, &member::id);
+    state.newest_version = generation;
+    for (const auto& one : members) {
+        if (one.id != env.self.id) {
+            heard_peer peer;
+            peer.who = one;
+            peer.answered = true;
+            peer.asked_at = now;
+            peer.pinged_at = now;
+            peer.versions.generation = generation;
+            peer.versions.settled = true;
+            state.heard[one.id] = peer;
+        }
+    }
+    return state;
+}
+
+std::span<const member> members(const roster_state& state) {
+    return state.newest.members;
+}
+
+generation_number generation(const roster_state& state) {
+    return state.newest.generation;
+}
+
+std::optional<member> find_member(const roster_state& state, const instance_id& id) {
+    for (const roster* one : {&state.newest, &state.previous}) {
+        const auto found = std::ranges::find(one->members, id, &member::id);
+        if (found != one->members.end()) {
+            return *found;
+        }
+    }
+    const auto found = state.heard.find(id);
+    if (found != state.heard.end() && !found->second.who.address.empty()) {
+        return found->second.who;
+    }
+    return std::nullopt;
+}
+
+std::optional<member> home_of(const roster_state& state, std::string_view key) {
+    if (state.newest.members.empty()) {
+        return std::nullopt;
+    }
+    return home_among(state.newest.members, key);
+}
+
+std::optional<member> ranked_home(const roster_state& state, std::string_view key,
+                                  std::size_t rank) {
+    if (rank >= state.newest.members.size()) {
+        return std::nullopt;
+    }
+    std::vector<std::pair<std::uint64_t, const member*>> weights;
+    for (const auto& one : state.newest.members) {
+        weights.emplace_back(detail::rendezvous_weight(one.id, key), &one);
+    }
+    std::ranges::sort(weights, [](const auto& left, const auto& right) {
+        return std::pair(left.first, left.second->id) > std::pair(right.first, right.second->id);
+    });
+    return *weights[rank].second;
+}
+
+// Why no two instances act for one key at one time. Let g be settled and g+1 the next generation.
+//
+// - A home of g acts at t only if a majority of g's members answered pings that it sent after
+//   t - fence, and named no generation above g. g+1 settles only after a majority of g's members
+//   had acknowledged it by some A, and fence plus margin have passed since. The two majorities
+//   share a member; it answered the home before it acknowledged, so the ping was sent before A and
+//   t < A + fence. Homes of g that learn of g+1 stop at once for keys that move.
+// - While g+1 isn't settled, only an instance that is the home of the key in both acts. Another
+//   actor would have to be home under g-1 or older, which was fenced out before g settled and so
+//   before g+1 could be proposed; or under g+2 or newer, which isn't proposed before g+1 has
+//   settled, and settles only after a majority of g+1's members acknowledged it. That is why the
+//   majority asked for is one of the newest generation, and why generations must not stack.
+// - Each generation has one set of members, since all are written by conditional update to one
+//   object, and nobody takes over a generation before it is known to be in the store.
+bool may_act(const roster_state& state, const environment& env, std::string_view key, instant now) {
+    if (!is_home(state.newest, state.self.id, key)) {
+        return false;
+    }
+    if (!state.newest.settled) {
+        const bool stays =
+            detail::knows_previous(state) && is_home(state.previous, state.self.id, key);
+        if (!stays) {
+            return false;
+        }
+    }
+    return hears_majority(state, env.timing.fence, now);
+}
+
+bool hears_majority(const roster_state& state, milliseconds within, instant now) {
+    const auto count = std::ranges::count_if(state.newest.members, [&](const member& one) {
+        return vouches(state, one.id, within, now);
+    });
+    return detail::is_majority(static_cast<std::size_t>(count), state.newest.members);
+}
+
+bool is_member(const roster_state& state) {
+    return state.newest.settled && detail::contains(state.newest.members, state.self.id);
+}
+
+void renew_tenure(tenure& held, const roster_state& state, std::string_view key, instant now) {
+    const generation_number newest = state.newest.generation;
+    if (!is_home(state.newest, state.self.id, key)) {
+        held = {};
+        return;
+    }
+    const bool unbroken = held.through != 0 && held.through + 1 >= newest;
+    if (!state.newest.settled) {
+        if (!unbroken) {
+            held = {};
+        }
+        return;
+    }
+    if (!unbroken) {
+        held.since = now;
+    }
+    held.through = newest;
+}
+
+bool has_left(const roster_state& state, const environment& env, instant now) {
+    if (!state.leaving) {
+        return false;
+    }
+    const bool in_newest = detail::contains(state.newest.members, state.self.id);
+    if (!in_newest && (state.newest.settled || state.newest.generation == 0)) {
+        return true;
+    }
+    if (now - state.leaving_since >= leave_limit) {
+        return true;
+    }
+    const bool has_successor = std::ranges::any_of(state.heard, [&](const auto& entry) {
+        return !entry.second.leaving &&
+               detail::is_heard(state, entry.first, env.timing.suspect_after, now);
+    });
+    if (!has_successor) {
+        return now - state.leaving_since >= leave_patience;
+    }
+    return state.store_failing_since && now - state.leaving_since >= leave_patience &&
+           now - *state.store_failing_since >= leave_patience;
+}
+
+}  // namespace cyclamenmount
--- a/src/coordination/roster/roster.h
+++ b/src/coordination/roster/roster.h
@@ -11,42 +11,81 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace cyclamenmount {
 
-//! What is known from one peer's last answer.
+//! What is known from one peer's pings and answers.
 struct heard_peer {
-    member who;
-    instant asked_at;         //!< when the answered ping was sent
-    known_versions versions;  //!< as the answer told
+    member who;               //!< address empty if only its answers are known
+    bool answered{false};     //!< `asked_at` and `versions` are valid
+    instant asked_at;         //!< when the latest answered ping was sent
+    known_versions versions;  //!< as the newest answer told; its generation never goes back
+    instant pinged_at;        //!< arrival of its latest ping
     bool leaving{false};
 };
 
+//! One heartbeat: the same sequence goes to every peer.
 struct sent_ping {
     std::uint64_t sequence{0};
     instant at;
 };
 
+//! What the platform's list said about one member of the roster.
+struct listing {
+    bool shown{false};                    //!< some read showed it
+    std::optional<instant> absent_since;  //!< first of the latest reads that didn't show it
+    instant checked_at;                   //!< latest read
+};
+
+enum class roster_call { read, propose, settle };
+
+//! The one store call in flight.
+struct pending_call {
+    store_ticket number;
+    roster_call kind{roster_call::read};
+    instant since;
+    roster value;  //!< of a write
+};
+
+//! Safety rules of the roster. Switched off only by checks, to show that they find the violation.
+struct roster_rules {
+    bool wait_for_fence{true};      //!< a generation settles only after the fence
+    bool date_by_sending{true};     //!< an answer counts from the time its ping was sent
+    bool settle_before_next{true};  //!< no proposal before the present generation has settled
+};
+
 //! Owned by the roster reducer; others use the functions below.
 struct roster_state {
     member self;
     roster newest;  //!< highest generation known, settled or not
     object_version newest_version{0};
-    roster previous;  //!< the generation before `newest`; empty if not known
+    roster previous;     //!< the generation before `newest`; empty if not known
+    instant adopted_at;  //!< when `newest` became known
     std::map<instance_id, heard_peer> heard;
-    std::map<instance_id, std::vector<sent_ping>> pings_in_flight;
-    std::vector<listed_instance> listed;     //!< entry instances as the platform's list shows them
-    std::map<std::string, instant> dropped;  //!< ids that the list showed and has dropped since
+    std::vector<sent_ping> pings_in_flight;
+    std::vector<listed_instance> listed;  //!< entry instances as the platform's list shows them
+    bool listed_once{false};
+    std::map<instance_id, listing> listings;  //!< of the members of `newest` and `previous`
     std::optional<instant> majority_acknowledged_at;
+    std::optional<instant> change_wanted_at;  //!< since when the members should be others
     std::uint64_t sequence{0};
     bool leaving{false};
+    instant leaving_since;
     instant next_heartbeat;
     instant next_list;
-    bool list_in_flight{false};
-    std::optional<store_ticket> call_in_flight;
-    std::string own_proposal;  //!< id of the write in flight
+    std::optional<instant> list_in_flight;  //!< when it was asked for
+    std::optional<pending_call> call_in_flight;
+    bool object_missing{false};  //!< the store said that there is no roster yet
+    std::optional<instant> store_failing_since;
+    bool read_wanted{false};  //!< a write may have taken effect
+    instant next_read;
+    instant next_write;
     std::uint64_t next_ticket{1};
     instant started_at;
+    instant last_tick;
+    instant awake_since;  //!< end of the latest pause of this process
+    roster_rules rules;
 };
 
 //! State of an instance that has heard of nobody yet.
@@ -92,6 +131,15 @@
 //! To be called on every event that a part handles for a key it may be home of.
 void renew_tenure(tenure& held, const roster_state& state, std::string_view key, instant now);
 
+//! True if the process of this member has ended, as far as can be known: another process has its
+//! address, or the platform's list has dropped it and it doesn't answer. Exclusive homes rest on
+//! the assumption that an instance which the list has dropped has ended.
+bool has_ended(const roster_state& state, const environment& env, const member& who, instant now);
+
+//! True once a leaving instance may go: it isn't in the settled roster, nobody is left to take
+//! over, or the store couldn't be reached for a few seconds.
+bool has_left(const roster_state& state, const environment& env, instant now);
+
 namespace detail {
 
 //! Weight of a member for a key; the highest wins. XXH3-64 over id and key.
--- /dev/null
+++ b/src/coordination/roster/tests/roster_tests.cpp
@@ -0,0 +1,214 @@
+//! Bootstrapping, joining, leaving, homes and tenure.
+#include "coordination/roster/internal/roster_object.h"
+#include "coordination/roster/tests/fleet.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cyclamenmount;
+using namespace cyclamenmount::testing;
+
+TEST_GROUP(roster){};
+
+TEST(roster, several_starts_share_the_first_generation) {
+    // GIVEN an empty store and five instances started together
+    fleet all = make_fleet();
+    for (const char* id : {"a", "b", "c", "d", "e"}) {
+        start_node(all, id);
+    }
+    // WHEN they have pinged each other
+    CHECK_TRUE(run_until(all, 10s, [&] { return all_settled(all, "a b c d e"); }));
+    // THEN one generation holds them all, and each key has exactly one home
+    LONGS_EQUAL(1, generation(all.nodes[0].state));
+    run_for(all, 1s);
+    for (const auto& key : all.keys) {
+        LONGS_EQUAL(1, actors(all, key).size());
+    }
+    LONGS_EQUAL(0, all.counters.violations);
+}
+
+TEST(roster, mass_join_takes_one_generation) {
+    // GIVEN a settled roster of three
+    fleet all = make_fleet();
+    start_settled(all, {"a", "b", "c"});
+    run_for(all, 1s);
+    // WHEN five more start at the same time
+    for (const char* id : {"d", "e", "f", "g", "h"}) {
+        start_node(all, id);
+    }
+    CHECK_TRUE(run_until(all, 20s, [&] { return all_settled(all, "a b c d e f g h"); }));
+    // THEN they share one generation and no key ever had two homes
+    LONGS_EQUAL(2, generation(all.nodes[0].state));
+    LONGS_EQUAL(0, all.counters.violations);
+}
+
+TEST(roster, homes_that_stay_act_through_a_change) {
+    // GIVEN a settled roster of three
+    fleet all = make_fleet();
+    start_settled(all, {"a", "b", "c"});
+    run_for(all, 1s);
+    // WHEN a fourth joins
+    start_node(all, "d");
+    CHECK_TRUE(run_until(all, 10s, [&] { return !find_node(all, "a").state.newest.settled; }));
+    run_for(all, 500ms);
+    // THEN until it settles just the keys that don't move have an actor
+    for (const auto& key : all.keys) {
+        const bool moves = home_of(find_node(all, "a").state, key)->id.value == "d";
+        LONGS_EQUAL(moves ? 0 : 1, actors(all, key).size());
+    }
+    CHECK_TRUE(run_until(all, 10s, [&] { return all_settled(all, "a b c d"); }));
+    LONGS_EQUAL(0, all.counters.violations);
+}
+
+TEST(roster, leaving_instance_hands_over_and_may_go) {
+    // GIVEN a settled roster of three
+    fleet all = make_fleet();
+    start_settled(all, {"a", "b", "c"});
+    run_for(all, 1s);
+    // WHEN one is told to stop
+    node& b = find_node(all, "b");
+    give(all, b, stop_wanted{});
+    CHECK_FALSE(has_left(b.state, b.env, all.now));
+    // THEN the others take over and it may go
+    CHECK_TRUE(run_until(all, 10s, [&] { return has_left(b.state, b.env, all.now); }));
+    CHECK_TRUE(roster_text(b) == "a c");
+    LONGS_EQUAL(0, all.counters.violations);
+}
+
+TEST(roster, leaving_is_bounded_without_store_or_successor) {
+    struct {
+        const char* name;
+        bool store_down;
+        std::vector<std::string> ids;
+    } const cases[] = {{"store down", true, {"a", "b", "c"}}, {"last instance", false, {"a"}}};
+
+    for (const auto& one : cases) {
+        fleet all = make_fleet();
+        start_settled(all, one.ids);
+        run_for(all, 1s);
+        all.store_down = one.store_down;
+        node& a = find_node(all, "a");
+        give(all, a, stop_wanted{});
+        CHECK_TRUE_TEXT(run_until(all, 15s, [&] { return has_left(a.state, a.env, all.now); }),
+                        one.name);
+    }
+}
+
+TEST(roster, settled_roster_costs_no_store_calls) {
+    // GIVEN a settled roster
+    fleet all = make_fleet();
+    start_settled(all, {"a", "b", "c"});
+    run_for(all, 2s);
+    const int before = all.counters.store_calls;
+    // WHEN a minute passes
+    run_for(all, 60s);
+    // THEN the roster object was neither read nor written
+    LONGS_EQUAL(before, all.counters.store_calls);
+}
+
+TEST(roster, all_replaced_at_once_start_anew) {
+    // GIVEN a settled roster whose members all end and are replaced by others
+    fleet all = make_fleet();
+    start_settled(all, {"a", "b", "c"});
+    run_for(all, 2s);
+    for (const char* id : {"a", "b", "c"}) {
+        kill_node(all, id);
+        drop_from_list(all, id);
+    }
+    for (const char* id : {"x", "y", "z"}) {
+        start_node(all, id);
+    }
+    // WHEN the list has been without the old ones for a while
+    CHECK_TRUE(run_until(all, 40s, [&] { return all_settled(all, "x y z"); }));
+    // THEN there is a newer generation, never two homes
+    LONGS_EQUAL(0, all.counters.violations);
+}
+
+TEST(roster, restart_at_the_same_address_counts_as_the_end_of_the_old_process) {
+    fleet all = make_fleet();
+    start_settled(all, {"a", "b"});
+    run_for(all, 2s);
+    // WHEN one of two is killed and another process takes its address
+    kill_node(all, "b");
+    start_node(all, "b2", "b:1");
+    // THEN the roster recovers, although the list never dropped the address
+    CHECK_TRUE(run_until(all, 30s, [&] { return all_settled(all, "a b2"); }));
+    LONGS_EQUAL(0, all.counters.violations);
+}
+
+TEST(roster, starts_with_store_down_and_learns_from_peers) {
+    // GIVEN a settled roster and a store that is down
+    fleet all = make_fleet();
+    start_settled(all, {"a", "b", "c"});
+    run_for(all, 2s);
+    all.store_down = true;
+    // WHEN an instance is replaced at its address
+    kill_node(all, "c");
+    node& replaced = start_node(all, "c2", "c:1");
+    run_for(all, 3s);
+    // THEN it knows the roster, though it isn't in it yet
+    LONGS_EQUAL(1, generation(replaced.state));
+    CHECK_FALSE(is_member(replaced.state));
+}
+
+TEST(roster, tenure_lasts_while_no_other_could_have_been_home) {
+    struct {
+        const char* name;
+        generation_number through;
+        generation_number newest;
+        bool settled;
+        bool home;
+        generation_number after;
+        bool kept;
+    } const cases[] = {
+        {"first settled", 0, 4, true, true, 4, false},
+        {"same generation", 4, 4, true, true, 4, true},
+        {"next one settled, still home", 4, 5, true, true, 5, true},
+        {"next one unsettled, still home", 4, 5, false, true, 4, true},
+        {"unsettled and new", 0, 5, false, true, 0, false},
+        {"skipped a generation", 4, 6, true, true, 6, false},
+        {"skipped, unsettled", 4, 6, false, true, 0, false},
+        {"home elsewhere", 4, 5, true, false, 0, false},
+        {"home elsewhere, unsettled", 4, 5, false, false, 0, false},
+    };
+
+    for (const auto& one : cases) {
+        environment env;
+        env.self = {{"a"}, "a:1", {}};
+        const member other{{"b"}, "b:1", {}};
+        const member home = one.home ? env.self : other;
+        roster_state state = make_settled_roster(env, std::span(&home, 1), one.newest, instant(9s));
+        state.newest.settled = one.settled;
+        tenure held{one.through, instant(5s)};
+        renew_tenure(held, state, "key", instant(9s));
+        LONGS_EQUAL_TEXT(one.after, held.through, one.name);
+        CHECK_EQUAL_TEXT(one.kept, held.through != 0 && held.since == instant(5s), one.name);
+    }
+}
+
+TEST(roster, object_survives_a_round_trip_and_rejects_rubbish) {
+    const roster value{7, true, {{{"a"}, "a:1", {"z"}}}, "a-3"};
+    const member before{{"b"}, "b:1", {"z"}};
+    const auto text = detail::write_roster(value, std::span(&before, 1));
+    const auto read = detail::parse_roster(text);
+    CHECK_TRUE(read.has_value());
+    CHECK_TRUE(read.value().value == value);
+    CHECK_TRUE(read.value().previous == std::vector{before});
+    for (const char* bad : {"", "{}", "[1]", "{\"generation\":0}", "not json"}) {
+        CHECK_FALSE(detail::parse_roster(bad).has_value());
+    }
+}
+
+TEST(roster, ranked_homes_are_all_members_with_the_home_first) {
+    fleet all = make_fleet();
+    start_settled(all, {"a", "b", "c"});
+    const auto& state = all.nodes[0].state;
+    for (const auto& key : all.keys) {
+        std::set<instance_id> seen;
+        for (std::size_t rank = 0; rank < 3; ++rank) {
+            seen.insert(ranked_home(state, key, rank)->id);
+        }
+        LONGS_EQUAL(3, seen.size());
+        CHECK_TRUE(ranked_home(state, key, 0) == home_of(state, key));
+        CHECK_FALSE(ranked_home(state, key, 3).has_value());
+    }
+}
