--- a/src/types/ids.h
+++ b/src/types/ids.h
@@ -13,7 +13,7 @@
 struct basic_name {
     std::string value;
 
-    auto operator<=>(const basic_name&) const = default;
+    auto operator<=>(const basic_name&) const = default;  // NOLINT(modernize-use-nullptr)
 
     [[nodiscard]] bool empty() const {
         return value.empty();
