--- a/src/codec/internal/json_messages.h
+++ b/src/codec/internal/json_messages.h
@@ -35,10 +35,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(cancel_notice, generation, upstream, attempt)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(workspace_demand, workspace, requests_per_second, concurrent,
                                    running, tokens_per_minute)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(share_report, generation, demands)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(share_report, generation, demands, sequence, applied)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(workspace_share, workspace, requests_per_second, concurrent,
                                    tokens_per_minute)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(share_grant, generation, shares)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(share_grant, generation, shares, sequence)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(permit_request, number, workspace, key, body, pool, operation,
                                    waits_at_most)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(call_outcome, known, status, body)
--- a/src/codec/tests/codec_tests.cpp
+++ b/src/codec/tests/codec_tests.cpp
@@ -30,13 +30,28 @@
     samples.push_back(roster_notice{{4, true, {a, a}, "p"}, 9});
     samples.push_back(report_notice{1, {{{"u"}, "i", upstream_condition::warm, 1, 8}}});
     samples.push_back(holdings_reply{1, {"u"}, {{{"t"}, 60s, true}}});
-    samples.push_back(share_report{1, {{{"w"}, 0.1, 3, 2, 1e9}}});
+    samples.push_back(share_report{1, {{{"w"}, 0.1, 3, 2, 1e9}}, 5, 4});
     samples.push_back(permit_reply{1, 2, permit_verdict::done, "p", {true, 200, "body"}});
     samples.push_back(claim_reply{1, 2, claim_verdict::join, {"r"}, a, {{{"s"}, "out"}}});
     samples.push_back(suspects_notice{{{{"f"}, {"i1", "i2"}, true}}});
     return samples;
 }
 
+//! Converts to anything; for counting the fields of an aggregate.
+struct any_value {
+    template <typename T>
+    operator T() const;
+};
+
+template <typename T, typename... Values>
+constexpr std::size_t field_count() {
+    if constexpr (requires { T{Values{}..., any_value{}}; }) {
+        return field_count<T, Values..., any_value>();
+    } else {
+        return sizeof...(Values);
+    }
+}
+
 std::string pack(const nlohmann::json& value) {
     std::string bytes;
     nlohmann::json::to_msgpack(value, bytes);
@@ -67,6 +82,15 @@
     }
 }
 
+TEST(codec, no_field_of_a_message_is_left_out) {
+    for (const auto& message : sample_messages()) {
+        const auto written = nlohmann::json::from_msgpack(encode_message(message));
+        const auto fields = std::visit(
+            [](const auto& one) { return field_count<std::decay_t<decltype(one)>>(); }, message);
+        LONGS_EQUAL(fields + 1, written.size());
+    }
+}
+
 TEST(codec, malformed_inputs_are_errors) {
     const nlohmann::json good = nlohmann::json::from_msgpack(encode_message(ping{}));
     const auto with = [&](const char* path, const nlohmann::json& value) {
@@ -116,7 +140,7 @@
 }
 
 TEST(codec, numbers_that_are_not_finite_are_errors) {
-    share_report report{1, {{{"w"}, std::numeric_limits<double>::quiet_NaN(), 0, 0, 0}}};
+    share_report report{1, {{{"w"}, std::numeric_limits<double>::quiet_NaN(), 0, 0, 0}}, 0, 0};
     CHECK_FALSE(decode_message(encode_message(report)).has_value());
     report.demands[0].requests_per_second = std::numeric_limits<double>::infinity();
     CHECK_FALSE(decode_message(encode_message(report)).has_value());
