--- a/src/coordination/dispatch/dispatch.cpp
+++ b/src/coordination/dispatch/dispatch.cpp
@@ -95,8 +95,9 @@
     }
     pending.trial_asked_at = context.now;
     ++pending.trial_asks;
-    const trial_request request{pending.wanted.number, pending.wanted.body, pending.wanted.attempt,
-                                pending.deadline - context.now};
+    const trial_request request{pending.wanted.number,
+                                tried_in(pending.wanted.body, pending.wanted.pool),
+                                pending.wanted.attempt, pending.deadline - context.now};
     const bool asked = ask_trial(context.roster, request, context.out);
     return !asked && !suspect;
 }
