--- a/src/coordination/shares/share_home.cpp
+++ b/src/coordination/shares/share_home.cpp
@@ -89,8 +89,7 @@
 //! What is left beside everybody else.
 workspace_share left_for(const shares_context& context, const share_book& book,
                          const instance_id& id, const allowance& limits) {
-    workspace_share left{
-        {}, limits.requests_per_second, limits.concurrent, limits.tokens_per_minute};
+    workspace_share left = divisible(context, limits);
     const auto take = [&](const instance_id& other) {
         const workspace_share used = possible_use(context, book, other, limits);
         left.requests_per_second -= used.requests_per_second;
