Peers: nghttp2 sessions with mutual proof of the secret

One poll thread carries all connections. Messages are batched into streams, queues are bounded, a connection that owes an answer and makes no progress is replaced. A stranger or garbage closes its own connection only.

--- /dev/null
+++ b/src/peers/http2_callbacks.cpp
@@ -0,0 +1,149 @@
+//! What nghttp2 calls back. A failure here breaks the session, which closes the connection.
+#include "peers/internal/http2_session.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+
+namespace cyclamenmount::detail {
+
+namespace {
+
+constexpr std::size_t max_header_bytes = 4096;  // of one request or response
+
+http2_session& session_of(void* user) {
+    return *static_cast<http2_session*>(user);
+}
+
+std::string_view view(const std::uint8_t* data, std::size_t size) {
+    return {reinterpret_cast<const char*>(data), size};
+}
+
+struct callbacks_deleter {
+    void operator()(nghttp2_session_callbacks* value) const {
+        nghttp2_session_callbacks_del(value);
+    }
+};
+
+void set_all(nghttp2_session_callbacks* made) {
+    nghttp2_session_callbacks_set_on_begin_headers_callback(made,
+                                                            http2_callbacks::on_begin_headers);
+    nghttp2_session_callbacks_set_on_header_callback(made, http2_callbacks::on_header);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(made, http2_callbacks::on_data);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(made, http2_callbacks::on_frame);
+    nghttp2_session_callbacks_set_on_invalid_frame_recv_callback(made,
+                                                                 http2_callbacks::on_invalid_frame);
+    nghttp2_session_callbacks_set_on_stream_close_callback(made, http2_callbacks::on_stream_close);
+}
+
+}  // namespace
+
+result<nghttp2_session*> http2_callbacks::make_session(http2_session& owner) {
+    nghttp2_session_callbacks* made = nullptr;
+    if (nghttp2_session_callbacks_new(&made) != 0) {
+        return error{error_kind::system, "nghttp2 out of memory"};
+    }
+    const std::unique_ptr<nghttp2_session_callbacks, callbacks_deleter> callbacks(made);
+    set_all(made);
+    nghttp2_session* session = nullptr;
+    const int status = owner.role_ == http2_role::client
+                           ? nghttp2_session_client_new(&session, made, &owner)
+                           : nghttp2_session_server_new(&session, made, &owner);
+    if (status != 0) {
+        return error{error_kind::system, "nghttp2 out of memory"};
+    }
+    return session;
+}
+
+nghttp2_data_provider http2_callbacks::provider() {
+    nghttp2_data_provider made{};
+    made.read_callback = read_body;
+    return made;
+}
+
+int http2_callbacks::on_begin_headers(nghttp2_session* /*session*/, const nghttp2_frame* frame,
+                                      void* user) {
+    auto& owner = session_of(user);
+    owner.incoming_[frame->hd.stream_id].stream = frame->hd.stream_id;
+    return 0;
+}
+
+int http2_callbacks::on_header(nghttp2_session* /*session*/, const nghttp2_frame* frame,
+                               const std::uint8_t* name, std::size_t name_size,
+                               const std::uint8_t* value, std::size_t value_size,
+                               std::uint8_t /*flags*/, void* user) {
+    auto& exchange = session_of(user).incoming_[frame->hd.stream_id];
+    exchange.header_bytes += name_size + value_size;
+    if (exchange.header_bytes > max_header_bytes) {
+        return NGHTTP2_ERR_CALLBACK_FAILURE;
+    }
+    const auto text = view(value, value_size);
+    if (view(name, name_size) == ":path") {
+        exchange.path = text;
+    } else if (view(name, name_size) == ":status") {
+        std::from_chars(text.data(), text.data() + text.size(), exchange.status);
+    }
+    return 0;
+}
+
+int http2_callbacks::on_data(nghttp2_session* /*session*/, std::uint8_t /*flags*/,
+                             std::int32_t stream, const std::uint8_t* data, std::size_t size,
+                             void* user) {
+    return session_of(user).add_body(stream, view(data, size)) ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
+}
+
+int http2_callbacks::on_frame(nghttp2_session* /*session*/, const nghttp2_frame* frame,
+                              void* user) {
+    auto& owner = session_of(user);
+    const bool carries = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+    const bool ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+    const auto found = owner.incoming_.find(frame->hd.stream_id);
+    if (carries && ends && found != owner.incoming_.end()) {
+        owner.buffered_bytes_ -= found->second.body.size();
+        owner.finished_.push_back(std::move(found->second));
+        owner.incoming_.erase(found);
+    }
+    return 0;
+}
+
+int http2_callbacks::on_invalid_frame(nghttp2_session* /*session*/, const nghttp2_frame* /*frame*/,
+                                      int /*fault*/, void* /*user*/) {
+    return NGHTTP2_ERR_CALLBACK_FAILURE;
+}
+
+int http2_callbacks::on_stream_close(nghttp2_session* /*session*/, std::int32_t stream,
+                                     std::uint32_t code, void* user) {
+    auto& owner = session_of(user);
+    owner.uploads_.erase(stream);
+    const auto found = owner.incoming_.find(stream);
+    if (found != owner.incoming_.end()) {
+        owner.buffered_bytes_ -= found->second.body.size();
+        owner.incoming_.erase(found);
+    }
+    if (code != NGHTTP2_NO_ERROR && owner.role_ == http2_role::client) {
+        http2_exchange failed;
+        failed.stream = stream;
+        owner.finished_.push_back(std::move(failed));
+    }
+    return 0;
+}
+
+ssize_t http2_callbacks::read_body(nghttp2_session* /*session*/, std::int32_t stream,
+                                   std::uint8_t* out, std::size_t size, std::uint32_t* flags,
+                                   nghttp2_data_source* /*source*/, void* user) {
+    auto& owner = session_of(user);
+    const auto found = owner.uploads_.find(stream);
+    if (found == owner.uploads_.end()) {
+        return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+    }
+    auto& upload = found->second;
+    const std::size_t count = std::min(size, upload.body.size() - upload.sent);
+    std::memcpy(out, upload.body.data() + upload.sent, count);
+    upload.sent += count;
+    if (upload.sent == upload.body.size()) {
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
+    }
+    return static_cast<ssize_t>(count);
+}
+
+}  // namespace cyclamenmount::detail
--- /dev/null
+++ b/src/peers/http2_session.cpp
@@ -0,0 +1,162 @@
+//! One nghttp2 session over one non-blocking socket.
+#include "peers/internal/http2_session.h"
+
+#include "codec/codec.h"
+
+#include <array>
+#include <cerrno>
+
+#include <sys/socket.h>
+
+namespace cyclamenmount::detail {
+
+namespace {
+
+constexpr std::size_t max_body_bytes = max_message_bytes + 64;     // a batch of one message
+constexpr std::size_t max_buffered_bytes = std::size_t{8} << 20U;  // of all bodies at once
+constexpr std::size_t output_low_water = std::size_t{64} << 10U;   // bytes
+constexpr std::size_t read_chunk = std::size_t{16} << 10U;         // bytes
+constexpr int max_reads_in_a_row = 64;                             // then others get their turn
+constexpr std::uint32_t max_streams = 128;
+constexpr std::uint32_t window_bytes = std::uint32_t{4} << 20U;
+
+nghttp2_nv header(std::string_view name, std::string_view value) {
+    nghttp2_nv made{};
+    made.name = reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data()));
+    made.namelen = name.size();
+    made.value = reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data()));
+    made.valuelen = value.size();
+    return made;
+}
+
+}  // namespace
+
+result<std::unique_ptr<http2_session>> http2_session::create(descriptor socket, http2_role role,
+                                                             instant now) {
+    std::unique_ptr<http2_session> made(new http2_session(std::move(socket), role, now));
+    auto session = http2_callbacks::make_session(*made);
+    if (!session) {
+        return session.error();
+    }
+    made->session_.reset(session.value());
+    if (!made->open()) {
+        return error{error_kind::system, "can't start an HTTP/2 session"};
+    }
+    return made;
+}
+
+bool http2_session::open() {
+    const std::array<nghttp2_settings_entry, 3> settings = {
+        {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, max_streams},
+         {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, window_bytes},
+         {NGHTTP2_SETTINGS_ENABLE_PUSH, 0}}};
+    // A server doesn't send ENABLE_PUSH.
+    const std::size_t count = role_ == http2_role::client ? settings.size() : 2;
+    return nghttp2_submit_settings(session_.get(), NGHTTP2_FLAG_NONE, settings.data(), count) ==
+               0 &&
+           nghttp2_session_set_local_window_size(session_.get(), NGHTTP2_FLAG_NONE, 0,
+                                                 static_cast<std::int32_t>(window_bytes)) == 0;
+}
+
+result<std::int32_t> http2_session::request(std::string_view path, std::string body) {
+    const std::array<nghttp2_nv, 4> headers = {
+        {header(":method", "POST"), header(":scheme", "http"), header(":authority", "peer"),
+         header(":path", path)}};
+    const auto provider = http2_callbacks::provider();
+    const std::int32_t stream = nghttp2_submit_request(session_.get(), nullptr, headers.data(),
+                                                       headers.size(), &provider, nullptr);
+    if (stream < 0) {
+        return error{error_kind::protocol, nghttp2_strerror(stream)};
+    }
+    uploads_[stream].body = std::move(body);
+    return stream;
+}
+
+bool http2_session::respond(std::int32_t stream, std::string body) {
+    const std::array<nghttp2_nv, 1> headers = {{header(":status", body.empty() ? "204" : "200")}};
+    if (body.empty()) {
+        return nghttp2_submit_response(session_.get(), stream, headers.data(), headers.size(),
+                                       nullptr) == 0;
+    }
+    uploads_[stream].body = std::move(body);
+    const auto provider = http2_callbacks::provider();
+    return nghttp2_submit_response(session_.get(), stream, headers.data(), headers.size(),
+                                   &provider) == 0;
+}
+
+bool http2_session::add_body(std::int32_t stream, std::string_view bytes) {
+    auto& exchange = incoming_[stream];
+    buffered_bytes_ += bytes.size();
+    if (exchange.body.size() + bytes.size() > max_body_bytes ||
+        buffered_bytes_ > max_buffered_bytes) {
+        return false;
+    }
+    exchange.body.append(bytes);
+    return true;
+}
+
+bool http2_session::receive(instant now, std::vector<http2_exchange>& arrived) {
+    std::array<std::uint8_t, read_chunk> buffer{};
+    for (int i = 0; i < max_reads_in_a_row; ++i) {
+        const auto size = recv(socket_.value(), buffer.data(), buffer.size(), 0);
+        if (size < 0) {
+            return errno == EAGAIN || errno == EINTR;
+        }
+        if (size == 0) {
+            return false;
+        }
+        received_bytes_ += static_cast<std::uint64_t>(size);
+        last_progress_ = now;
+        const auto used =
+            nghttp2_session_mem_recv(session_.get(), buffer.data(), static_cast<std::size_t>(size));
+        for (auto& one : finished_) {
+            arrived.push_back(std::move(one));
+        }
+        finished_.clear();
+        if (used != size) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool http2_session::fill_output() {
+    while (output_.size() < output_low_water) {
+        const std::uint8_t* data = nullptr;
+        const auto size = nghttp2_session_mem_send(session_.get(), &data);
+        if (size < 0) {
+            return false;
+        }
+        if (size == 0) {
+            return true;
+        }
+        output_.append(reinterpret_cast<const char*>(data), static_cast<std::size_t>(size));
+    }
+    return true;
+}
+
+bool http2_session::flush(instant now) {
+    while (true) {
+        if (!fill_output()) {
+            return false;
+        }
+        if (output_.empty()) {
+            return nghttp2_session_want_read(session_.get()) != 0;
+        }
+        const auto size = send(socket_.value(), output_.data(), output_.size(), MSG_NOSIGNAL);
+        if (size < 0) {
+            return errno == EAGAIN || errno == EINTR;
+        }
+        output_.erase(0, static_cast<std::size_t>(size));
+        sent_bytes_ += static_cast<std::uint64_t>(size);
+        if (role_ == http2_role::server) {
+            last_progress_ = now;
+        }
+    }
+}
+
+bool http2_session::wants_write() const {
+    return !output_.empty() || nghttp2_session_want_write(session_.get()) != 0;
+}
+
+}  // namespace cyclamenmount::detail
--- /dev/null
+++ b/src/peers/internal/handshake.h
@@ -0,0 +1,49 @@
+//! Mutual proof of the fleet's secret at the start of a connection; the secret isn't sent.
+//!
+//! The client sends its id and a nonce; the server answers with its id, a nonce and a proof over
+//! both ids and nonces; the client checks it and sends its own. Each proof is an HMAC-SHA256, with
+//! the role in front, so that one can't be used as the other.
+#pragma once
+
+#include "types/errors.h"
+#include "types/ids.h"
+
+#include <string>
+#include <string_view>
+
+namespace cyclamenmount::detail {
+
+struct handshake {
+    instance_id client;
+    instance_id server;
+    std::string client_nonce;
+    std::string server_nonce;
+};
+
+struct hello_request {
+    instance_id client;
+    std::string nonce;
+};
+
+struct hello_reply {
+    instance_id server;
+    std::string nonce;
+    std::string proof;
+};
+
+inline constexpr std::size_t nonce_bytes = 32;
+
+std::string make_nonce();
+
+std::string client_proof(const std::string& secret, const handshake& agreed);
+std::string server_proof(const std::string& secret, const handshake& agreed);
+
+//! Takes the same time wherever the two differ.
+bool equal_in_constant_time(std::string_view left, std::string_view right);
+
+std::string encode_hello(const hello_request& request);
+std::string encode_hello(const hello_reply& reply);
+result<hello_request> decode_hello_request(std::string_view bytes);
+result<hello_reply> decode_hello_reply(std::string_view bytes);
+
+}  // namespace cyclamenmount::detail
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -52,6 +52,9 @@
 
     [[nodiscard]] peer_counters counters() const;
 
+    //! IP:PORT listened on; differs from the settings if these gave port 0.
+    [[nodiscard]] std::string address() const;
+
 private:
     struct impl;
     explicit peer_network(std::unique_ptr<impl> implementation);
