--- /dev/null
+++ b/src/coordination/dispatch/tests/fake_fleet.cpp
@@ -0,0 +1,612 @@
+#include "coordination/dispatch/tests/fake_fleet.h"
+
+#include "types/overloaded.h"
+
+#include <algorithm>
+#include <deque>
+
+namespace cyclamenmount::testing {
+
+namespace {
+
+constexpr milliseconds one_way{1};
+constexpr milliseconds store_time{3};
+constexpr milliseconds store_failure_time{200};
+constexpr milliseconds retry_pause{20};
+constexpr milliseconds list_time{500};
+constexpr generation_number first_generation = 1;
+
+std::uint64_t next_bits(fleet& all) {
+    all.random = all.random * 6364136223846793005U + 1442695040888963407U;
+    return all.random >> 33U;
+}
+
+member member_at(const fleet& all, std::size_t index) {
+    const std::string zone = std::string(1, static_cast<char>('a' + index % all.settings.zones));
+    return {instance_id{"i" + std::to_string(index)}, "127.0.0.1:" + std::to_string(9000 + index),
+            zone_name{zone}};
+}
+
+std::optional<std::size_t> index_of(const fleet& all, const instance_id& id) {
+    for (std::size_t i = 0; i < all.instances.size(); ++i) {
+        if (all.instances[i].env.self.id == id) {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+known_versions versions_of(const fake_instance& instance) {
+    known_versions versions;
+    versions.generation = generation(instance.roster);
+    versions.settled = true;
+    versions.plans = version_of(instance.documents, document_names::plans);
+    versions.allowances = version_of(instance.documents, document_names::allowances);
+    versions.availability = version_of(instance.documents, document_names::availability);
+    versions.emergency_digest = emergency_digest(instance.documents);
+    return versions;
+}
+
+void carry_out(fleet& all, std::size_t index, effects wanted);
+
+//! Runs `action` on an instance: at once, after its pause, or never.
+void on_instance(fleet& all, std::size_t index, std::function<void()> action) {
+    fake_instance& instance = all.instances[index];
+    if (!instance.alive) {
+        return;
+    }
+    if (instance.paused) {
+        instance.backlog.push_back(std::move(action));
+        return;
+    }
+    action();
+}
+
+effects reduce_parts(fake_instance& each, const event& happened, instant now) {
+    effects out;
+    reduce_documents(each.documents, each.env, each.roster, happened, now, out);
+    reduce_slots(each.slots, each.env, each.roster, each.documents, happened, now, out);
+    reduce_quarantine(each.quarantine, each.env, each.roster, happened, now, out);
+    reduce_dispatch(each.dispatch, each.env, each.roster, each.documents, each.slots,
+                    each.quarantine, happened, now, out);
+    return out;
+}
+
+void reduce_now(fleet& all, std::size_t index, const event& happened) {
+    fake_instance& instance = all.instances[index];
+    effects out;
+    std::deque<event> waiting{happened};
+    while (!waiting.empty()) {
+        const event next = waiting.front();
+        waiting.pop_front();
+        for (effect& each : reduce_parts(instance, next, all.now)) {
+            const auto* sent = std::get_if<send_to_peer>(&each);
+            if (sent != nullptr && sent->to.id == instance.env.self.id) {
+                waiting.emplace_back(peer_message_received{instance.env.self.id, sent->message});
+            } else {
+                out.push_back(std::move(each));
+            }
+        }
+    }
+    carry_out(all, index, std::move(out));
+}
+
+void send(fleet& all, std::size_t from, std::size_t to, const peer_message& message) {
+    if (all.cut.contains({from, to})) {
+        return;
+    }
+    later(all, one_way, [&all, from, to, message] {
+        post(all, to, peer_message_received{all.instances[from].env.self.id, message});
+    });
+}
+
+// --- heartbeats ---------------------------------------------------------------------------------
+
+void answer_ping(fleet& all, std::size_t from, std::size_t to, instant asked_at) {
+    ping question;
+    question.from = all.instances[from].env.self;
+    question.versions = versions_of(all.instances[from]);
+    reduce_now(all, to, peer_message_received{question.from.id, question});
+    if (all.cut.contains({to, from})) {
+        return;
+    }
+    const pong answer{0, versions_of(all.instances[to])};
+    later(all, one_way, [&all, from, to, asked_at, answer] {
+        on_instance(all, from, [&all, from, to, asked_at, answer] {
+            const member& peer = all.instances[to].env.self;
+            all.instances[from].roster.heard[peer.id] =
+                heard_peer{peer, asked_at, answer.versions, false};
+            reduce_now(all, from, peer_message_received{peer.id, answer});
+        });
+    });
+}
+
+void heartbeat(fleet& all, std::size_t from) {
+    const fake_instance& instance = all.instances[from];
+    if (instance.alive) {
+        later(all, instance.env.timing.heartbeat, [&all, from] { heartbeat(all, from); });
+    }
+    if (!instance.alive || instance.paused) {
+        return;
+    }
+    const instant asked_at = all.now;
+    for (std::size_t to = 0; to < all.instances.size(); ++to) {
+        if (to == from || all.cut.contains({from, to})) {
+            continue;
+        }
+        later(all, one_way, [&all, from, to, asked_at] {
+            on_instance(all, to,
+                        [&all, from, to, asked_at] { answer_ping(all, from, to, asked_at); });
+        });
+    }
+}
+
+// --- store --------------------------------------------------------------------------------------
+
+bool store_answers(const fleet& all, std::size_t index) {
+    return all.store.up && !all.store_cut.contains(index);
+}
+
+void end_watch(fleet& all, fake_watch& watch) {
+    watch.done = true;
+    watch_ended ended{"config/", store_status::ok, all.store.revision, {}};
+    for (const auto& [key, object] : all.store.objects) {
+        if (object.version > watch.after) {
+            ended.objects.push_back(object);
+        }
+    }
+    const std::size_t index = watch.instance;
+    later(all, one_way, [&all, index, ended] { post(all, index, ended); });
+}
+
+void write_object(fleet& all, const stored_object& object) {
+    all.store.revision = object.version;
+    all.store.objects[object.key] = object;
+    for (fake_watch& watch : all.store.watches) {
+        if (!watch.done && !all.store.silent_watches) {
+            end_watch(all, watch);
+        }
+    }
+    std::erase_if(all.store.watches, [](const fake_watch& each) { return each.done; });
+}
+
+void start_watch(fleet& all, std::size_t index, const watch_prefix& wanted) {
+    ++all.store.calls;
+    if (!store_answers(all, index)) {
+        later(all, store_failure_time, [&all, index] {
+            post(all, index, watch_ended{"config/", store_status::unknown, 0, {}});
+        });
+        return;
+    }
+    if (all.store.silent_watches) {
+        return;
+    }
+    fake_watch watch{index, wanted.after, false};
+    if (all.store.revision > wanted.after) {
+        end_watch(all, watch);
+        return;
+    }
+    all.store.watches.push_back(watch);
+    later(all, wanted.timeout, [&all, index, after = wanted.after] {
+        for (fake_watch& each : all.store.watches) {
+            if (each.instance == index && each.after == after && !each.done) {
+                end_watch(all, each);
+            }
+        }
+        std::erase_if(all.store.watches, [](const fake_watch& each) { return each.done; });
+    });
+}
+
+void reply_later(fleet& all, std::size_t index, milliseconds after, const store_replied& reply) {
+    later(all, after, [&all, index, reply] { post(all, index, reply); });
+}
+
+void read_object(fleet& all, std::size_t index, const store_read& wanted) {
+    ++all.store.calls;
+    if (!store_answers(all, index)) {
+        reply_later(all, index, store_failure_time, {wanted.number, store_status::unknown, {}});
+        return;
+    }
+    const auto found = all.store.objects.find(wanted.key);
+    const bool missing = found == all.store.objects.end();
+    reply_later(all, index, store_time,
+                {wanted.number, missing ? store_status::missing : store_status::ok,
+                 missing ? stored_object{} : found->second});
+}
+
+store_status apply_write(fleet& all, const store_write& wanted) {
+    const auto found = all.store.objects.find(wanted.key);
+    const object_version present = found == all.store.objects.end() ? 0 : found->second.version;
+    if (present != wanted.expected) {
+        return store_status::conflict;
+    }
+    write_object(all, {wanted.key, all.store.revision + 1, wanted.value, false});
+    return store_status::ok;
+}
+
+void handle_write(fleet& all, std::size_t index, const store_write& wanted) {
+    ++all.store.calls;
+    const store_replied lost{wanted.number, store_status::unknown, {}};
+    if (!store_answers(all, index)) {
+        reply_later(all, index, store_failure_time, lost);
+        return;
+    }
+    if (all.store.late_answers > 0) {
+        --all.store.late_answers;
+        later(all, all.store.late_by, [&all, wanted] { apply_write(all, wanted); });
+        reply_later(all, index, store_failure_time, lost);
+        return;
+    }
+    const store_status status = apply_write(all, wanted);
+    if (all.store.lose_answers > 0) {
+        --all.store.lose_answers;
+        reply_later(all, index, store_failure_time, lost);
+        return;
+    }
+    reply_later(all, index, store_time,
+                {wanted.number, status, {wanted.key, all.store.revision, {}, false}});
+}
+
+// --- upstreams ----------------------------------------------------------------------------------
+
+upstream_report report_of(const fake_upstream& upstream) {
+    return {upstream.id, upstream.id.value + "-" + std::to_string(upstream.restarts),
+            upstream.condition, static_cast<int>(upstream.running.size()), upstream.capacity};
+}
+
+void count_use(fleet& all, fake_upstream& upstream) {
+    if (upstream.condition == upstream_condition::cold) {
+        const auto time = static_cast<double>((all.now - upstream.used_at).count());
+        upstream.cold_use += time * static_cast<double>(upstream.running.size());
+        upstream.cold_time += time;
+    }
+    upstream.used_at = all.now;
+}
+
+void poll(fleet& all, std::size_t index, const upstream_id& id) {
+    later(all, one_way, [&all, index, id] {
+        const auto report = report_of(all.upstreams.at(id));
+        later(all, one_way, [&all, index, id, report] {
+            post(all, index, upstream_polled{id, true, report});
+        });
+    });
+}
+
+void want_attempt(fleet& all, std::size_t index) {
+    fake_instance& instance = all.instances[index];
+    if (!all.traffic) {
+        return;
+    }
+    attempt_wanted wanted;
+    wanted.number = instance.next_attempt++;
+    wanted.attempt = attempt_id{instance.env.self.id.value + "-" + std::to_string(wanted.number)};
+    wanted.body = fingerprint{wanted.attempt.value};
+    wanted.pool = pool_name{fleet_pool};
+    wanted.time_left = all.settings.attempt_time + milliseconds(5000);
+    wanted.restartable = all.settings.restartable;
+    instance.attempts[wanted.attempt] = {wanted, {}, false};
+    reduce_now(all, index, wanted);
+}
+
+void want_again(fleet& all, std::size_t index, milliseconds after) {
+    later(all, after,
+          [&all, index] { on_instance(all, index, [&all, index] { want_attempt(all, index); }); });
+}
+
+void end_attempt(fleet& all, std::size_t index, const attempt_id& id, attempt_outcome outcome) {
+    fake_instance& instance = all.instances[index];
+    const auto found = instance.attempts.find(id);
+    if (found == instance.attempts.end()) {
+        return;
+    }
+    fake_upstream& upstream = all.upstreams.at(found->second.grant.upstream);
+    count_use(all, upstream);
+    upstream.running.erase(id);
+    ++upstream.ended;
+    attempt_ended ended;
+    ended.attempt = id;
+    ended.upstream = upstream.id;
+    ended.outcome = outcome;
+    ended.took = all.settings.attempt_time;
+    if (found->second.started && outcome != attempt_outcome::died) {
+        ended.report = report_of(upstream);
+    }
+    instance.attempts.erase(found);
+    on_instance(all, index, [&all, index, ended] { reduce_now(all, index, ended); });
+    want_again(all, index, milliseconds(1));
+}
+
+void count_start(fleet& all, fake_upstream& upstream) {
+    upstream.starts.push_back(all.now);
+    ++upstream.started;
+    const bool settled = all.now - upstream.cold_since >= all.settings.detection;
+    const bool over = static_cast<int>(upstream.running.size()) > upstream.cold_capacity;
+    if (upstream.condition == upstream_condition::cold && settled && over) {
+        ++upstream.over_cold;
+    }
+}
+
+void start_attempt(fleet& all, std::size_t index, const attempt_id& id) {
+    fake_instance& instance = all.instances[index];
+    const auto found = instance.attempts.find(id);
+    if (found == instance.attempts.end()) {
+        return;
+    }
+    if (all.now >= found->second.grant.start_before) {
+        end_attempt(all, index, id, attempt_outcome::not_started);
+        return;
+    }
+    fake_upstream& upstream = all.upstreams.at(found->second.grant.upstream);
+    count_use(all, upstream);
+    found->second.started = true;
+    upstream.running.insert(id);
+    count_start(all, upstream);
+    const milliseconds takes = all.settings.attempt_time + milliseconds(next_bits(all) % 50);
+    later(all, takes, [&all, index, id, at = upstream.id] {
+        fake_upstream& target = all.upstreams.at(at);
+        const bool alive = all.instances[index].alive;
+        count_use(all, target);
+        alive ? end_attempt(all, index, id, attempt_outcome::ok) : (void)target.running.erase(id);
+    });
+}
+
+void decide(fleet& all, std::size_t index, const attempt_decided& decision) {
+    fake_instance& instance = all.instances[index];
+    if (!decision.decision) {
+        ++instance.refusals[decision.decision.error().reason];
+        instance.attempts.erase(decision.attempt);
+        want_again(all, index, retry_pause);
+        return;
+    }
+    ++instance.granted;
+    instance.attempts[decision.attempt].grant = decision.decision.value();
+    const milliseconds delay(next_bits(all) % 5);
+    later(all, delay, [&all, index, id = decision.attempt] {
+        on_instance(all, index, [&all, index, id] { start_attempt(all, index, id); });
+    });
+}
+
+void cancel(fleet& all, std::size_t index, const attempt_id& id) {
+    later(all, one_way, [&all, index, id] {
+        on_instance(all, index,
+                    [&all, index, id] { end_attempt(all, index, id, attempt_outcome::cancelled); });
+    });
+}
+
+void carry_out(fleet& all, std::size_t index, effects wanted) {
+    for (const effect& each : wanted) {
+        std::visit(
+            overloaded{
+                [&](const send_to_peer& sent) {
+                    const auto to = index_of(all, sent.to.id);
+                    if (to) {
+                        send(all, index, *to, sent.message);
+                    }
+                },
+                [&](const store_read& read) { read_object(all, index, read); },
+                [&](const store_write& write) { handle_write(all, index, write); },
+                [&](const watch_prefix& watch) { start_watch(all, index, watch); },
+                [&](const poll_upstream& read) { poll(all, index, read.upstream); },
+                [&](const attempt_decided& decision) { decide(all, index, decision); },
+                [&](const attempt_cancelled& cancelled) { cancel(all, index, cancelled.attempt); },
+                [&](const edit_decided& decision) {
+                    all.instances[index].edits.push_back(decision);
+                },
+                [](const auto&) {},
+            },
+            each);
+    }
+}
+
+// --- start --------------------------------------------------------------------------------------
+
+void list_upstreams(fleet& all, std::size_t index) {
+    later(all, list_time, [&all, index] { list_upstreams(all, index); });
+    instances_listed list{store_status::ok, {}};
+    for (const auto& [id, upstream] : all.upstreams) {
+        list.instances.push_back({id.value, "127.0.0.1:1", upstream.zone, fleet_pool, false});
+    }
+    if (store_answers(all, index)) {
+        post(all, index, list);
+    }
+}
+
+void tick_on(fleet& all, std::size_t index) {
+    const fake_instance& instance = all.instances[index];
+    later(all, instance.env.timing.tick, [&all, index] { tick_on(all, index); });
+    if (instance.alive && !instance.paused) {
+        reduce_now(all, index, tick{});
+    }
+}
+
+environment make_environment(const fleet& all, std::size_t index) {
+    environment env;
+    env.self = member_at(all, index);
+    env.seed = index + 1;
+    pool_settings pool;
+    pool.name = pool_name{fleet_pool};
+    pool.cold_capacity = all.settings.cold_capacity;
+    env.pools.pools[pool.name] = pool;
+    return env;
+}
+
+void add_instance(fleet& all, std::size_t index, const std::vector<member>& everybody) {
+    fake_instance instance;
+    instance.env = make_environment(all, index);
+    instance.roster = make_settled_roster(instance.env, everybody, first_generation, all.now);
+    instance.documents = make_documents_with(instance.env, {}, {}, all.now);
+    instance.documents.revision = 0;
+    instance.slots = make_slots();
+    instance.quarantine = make_quarantine();
+    instance.dispatch = make_dispatch(instance.env);
+    all.instances.push_back(std::move(instance));
+}
+
+}  // namespace
+
+void later(fleet& all, milliseconds after, std::function<void()> action) {
+    all.agenda.emplace(all.now + after, std::move(action));
+}
+
+void post(fleet& all, std::size_t index, const event& happened) {
+    on_instance(all, index, [&all, index, happened] { reduce_now(all, index, happened); });
+}
+
+void start_fleet(fleet& all, fleet_settings settings) {
+    all.settings = settings;
+    std::vector<member> everybody;
+    for (std::size_t i = 0; i < settings.instances; ++i) {
+        everybody.push_back(member_at(all, i));
+    }
+    for (std::size_t i = 0; i < settings.instances; ++i) {
+        add_instance(all, i, everybody);
+    }
+    for (std::size_t i = 0; i < settings.upstreams; ++i) {
+        fake_upstream upstream;
+        upstream.id = upstream_id{"u" + std::to_string(i)};
+        upstream.zone = member_at(all, i).zone;
+        upstream.cold_capacity = settings.cold_capacity;
+        upstream.cold_since = all.now - settings.detection;
+        upstream.used_at = all.now;
+        all.upstreams[upstream.id] = upstream;
+    }
+    for (std::size_t i = 0; i < settings.instances; ++i) {
+        list_upstreams(all, i);
+        later(all, milliseconds(i * 7), [&all, i] { tick_on(all, i); });
+        later(all, milliseconds(i * 11), [&all, i] { heartbeat(all, i); });
+        for (int n = 0; n < settings.concurrent; ++n) {
+            want_again(all, i, milliseconds(10 + n));
+        }
+    }
+}
+
+void run_for(fleet& all, milliseconds time) {
+    const instant end = all.now + time;
+    while (!all.agenda.empty() && all.agenda.begin()->first <= end) {
+        auto node = all.agenda.extract(all.agenda.begin());
+        all.now = node.key();
+        node.mapped()();
+    }
+    all.now = end;
+}
+
+void pause_instance(fleet& all, std::size_t index) {
+    all.instances[index].paused = true;
+}
+
+void wake_instance(fleet& all, std::size_t index) {
+    all.instances[index].paused = false;
+    const auto backlog = std::move(all.instances[index].backlog);
+    all.instances[index].backlog.clear();
+    for (const auto& action : backlog) {
+        action();
+    }
+}
+
+void kill_instance(fleet& all, std::size_t index) {
+    all.instances[index].alive = false;
+}
+
+void cut_off(fleet& all, std::size_t index, bool from_store) {
+    for (std::size_t i = 0; i < all.instances.size(); ++i) {
+        all.cut.insert({i, index});
+        all.cut.insert({index, i});
+    }
+    if (from_store) {
+        all.store_cut.insert(index);
+    }
+}
+
+void mend(fleet& all) {
+    all.cut.clear();
+    all.store_cut.clear();
+}
+
+void change_generation(fleet& all, std::optional<std::size_t> without) {
+    std::vector<member> remaining;
+    for (std::size_t i = 0; i < all.instances.size(); ++i) {
+        if (i != without) {
+            remaining.push_back(all.instances[i].env.self);
+        }
+    }
+    for (std::size_t i = 0; i < all.instances.size(); ++i) {
+        fake_instance& each = all.instances[i];
+        if (i == without || !each.alive) {
+            continue;
+        }
+        const roster before = each.roster.newest;
+        each.roster = make_settled_roster(each.env, remaining, before.generation + 1, all.now);
+        each.roster.previous = before;
+    }
+}
+
+std::size_t home_index(const fleet& all, const upstream_id& upstream) {
+    for (const fake_instance& each : all.instances) {
+        if (each.alive) {
+            return *index_of(all, home_of(each.roster, home_key(upstream))->id);
+        }
+    }
+    return 0;
+}
+
+void turn_cold(fleet& all, const upstream_id& id, bool restart) {
+    fake_upstream& upstream = all.upstreams.at(id);
+    count_use(all, upstream);
+    upstream.condition = upstream_condition::cold;
+    upstream.cold_since = all.now;
+    if (!restart) {
+        return;
+    }
+    ++upstream.restarts;
+    const std::set<attempt_id> lost = upstream.running;
+    for (std::size_t i = 0; i < all.instances.size(); ++i) {
+        for (const attempt_id& attempt : lost) {
+            end_attempt(all, i, attempt, attempt_outcome::died);
+        }
+    }
+    upstream.running.clear();
+}
+
+void turn_warm(fleet& all, const upstream_id& id) {
+    fake_upstream& upstream = all.upstreams.at(id);
+    count_use(all, upstream);
+    upstream.condition = upstream_condition::warm;
+}
+
+int over_cold(const fleet& all) {
+    int sum = 0;
+    for (const auto& [id, upstream] : all.upstreams) {
+        sum += upstream.over_cold;
+    }
+    return sum;
+}
+
+int most_running_while_cold(const fleet& all) {
+    std::size_t most = 0;
+    for (const auto& [id, upstream] : all.upstreams) {
+        const bool cold = upstream.condition == upstream_condition::cold;
+        most = std::max(most, cold ? upstream.running.size() : 0);
+    }
+    return static_cast<int>(most);
+}
+
+double cold_capacity_used(fleet& all) {
+    double use = 0;
+    double time = 0;
+    for (auto& [id, upstream] : all.upstreams) {
+        count_use(all, upstream);
+        use += upstream.cold_use;
+        time += upstream.cold_time * upstream.cold_capacity;
+    }
+    return time > 0 ? use / time : 0;
+}
+
+void reset_use(fleet& all) {
+    for (auto& [id, upstream] : all.upstreams) {
+        count_use(all, upstream);
+        upstream.cold_use = 0;
+        upstream.cold_time = 0;
+    }
+}
+
+}  // namespace cyclamenmount::testing
