--- a/src/coordination/dispatch/tests/fake_fleet.cpp
+++ b/src/coordination/dispatch/tests/fake_fleet.cpp
@@ -115,7 +115,7 @@
         on_instance(all, from, [&all, from, to, asked_at, answer] {
             const member& peer = all.instances[to].env.self;
             all.instances[from].roster.heard[peer.id] =
-                heard_peer{peer, asked_at, answer.versions, false};
+                heard_peer{peer, true, asked_at, answer.versions, asked_at, false};
             reduce_now(all, from, peer_message_received{peer.id, answer});
         });
     });
