Slot requests that don't wait are answered from free slots

A request with no time to wait was dropped from the queue before it was served, so loaded warm upstreams never fed cold ones. Tests pin when a home may give slots, the queue, lost releases and the signs of cold.

--- a/src/coordination/dispatch/tests/cold_start_tests.cpp
+++ b/src/coordination/dispatch/tests/cold_start_tests.cpp
@@ -78,24 +78,28 @@
          [](fleet& all, std::size_t home) { wake_instance(all, (home + 1) % 8); }},
         {"store down", [](fleet& all, std::size_t) { all.store.up = false; }, nothing},
     };
-    for (const bool starts_warm : {false, true}) {
-        for (const row& each : rows) {
-            // GIVEN a fleet at work, its first upstream cold or just turned cold
-            auto all = make_warm_fleet({});
-            turn_cold(*all, first, !starts_warm);
-            run_for(*all, milliseconds(starts_warm ? 1 : 4000));
-            // WHEN the fault comes
-            const std::size_t home = home_index(*all, first);
-            each.fault(*all, home);
-            run_for(*all, milliseconds(3000));
-            each.afterwards(*all, home);
-            run_for(*all, milliseconds(17000));
-            // THEN nothing was started above the cold capacity, and it is fed again
-            LONGS_EQUAL_TEXT(0, over_cold(*all), each.name);
-            reset_use(*all);
-            run_for(*all, milliseconds(5000));
-            CHECK_TEXT(cold_capacity_used(*all) > 0.5, each.name);
-            LONGS_EQUAL_TEXT(0, over_cold(*all), each.name);
+    for (const auto attempt_time : {milliseconds(200), milliseconds(4000)}) {
+        for (const bool starts_warm : {false, true}) {
+            for (const row& each : rows) {
+                // GIVEN a fleet at work, its first upstream cold or just turned cold
+                fleet_settings settings;
+                settings.attempt_time = attempt_time;
+                auto all = make_warm_fleet(settings);
+                turn_cold(*all, first, !starts_warm);
+                run_for(*all, milliseconds(starts_warm ? 1 : 4000));
+                // WHEN the fault comes
+                const std::size_t home = home_index(*all, first);
+                each.fault(*all, home);
+                run_for(*all, milliseconds(3000));
+                each.afterwards(*all, home);
+                run_for(*all, milliseconds(17000));
+                // THEN nothing was started above the cold capacity, and it is fed again
+                LONGS_EQUAL_TEXT(0, over_cold(*all), each.name);
+                reset_use(*all);
+                run_for(*all, milliseconds(5000));
+                CHECK_TEXT(cold_capacity_used(*all) > 0.5, each.name);
+                LONGS_EQUAL_TEXT(0, over_cold(*all), each.name);
+            }
         }
     }
 }
--- a/src/coordination/slots/home.cpp
+++ b/src/coordination/slots/home.cpp
@@ -55,12 +55,8 @@
     book.waiting.clear();
 }
 
-void drop_expired(slots_context& context, slot_book& book) {
-    std::erase_if(book.slots,
-                  [&](const auto& entry) { return context.now >= entry.second.ends_at; });
-    while (!book.released.empty() && context.now - book.released.front() > report_lag) {
-        book.released.pop_front();
-    }
+//! Refuses those whose time in the queue is over.
+void drop_waiting(slots_context& context, slot_book& book) {
     std::erase_if(book.waiting, [&](const waiting_slot_request& each) {
         const bool over = context.now - each.asked_at >= each.request.waits_at_most;
         if (over) {
@@ -70,6 +66,14 @@
     });
 }
 
+void drop_expired(slots_context& context, slot_book& book) {
+    std::erase_if(book.slots,
+                  [&](const auto& entry) { return context.now >= entry.second.ends_at; });
+    while (!book.released.empty() && context.now - book.released.front() > report_lag) {
+        book.released.pop_front();
+    }
+}
+
 void poll_if_due(slots_context& context, const known_upstream& upstream, slot_book& book) {
     if (book.poll_in_flight && context.now - book.poll_asked_at > poll_limit) {
         handle_poll(context, upstream_polled{upstream.id, false, {}});
@@ -198,6 +202,7 @@
     }
     poll_if_due(context, upstream, *book);
     drop_expired(context, *book);
+    drop_waiting(context, *book);
     if (book->verdict == home_verdict::cold) {
         ask_holdings(context, upstream, *book);
         serve_waiting(context, upstream, *book);
@@ -248,9 +253,7 @@
     }
     book->waiting.push_back({from, request, context.now});
     serve_waiting(context, *upstream, *book);
-    if (request.waits_at_most.count() <= 0) {
-        drop_expired(context, *book);
-    }
+    drop_waiting(context, *book);
 }
 
 void handle_slot_release(slots_context& context, const slot_release& release) {
