Tests for broken streams, calls at most once, joins, stop and hostile input

Cancel orders under way are now sent before the process ends. The wait for an answer to begin has its own limit, since a cold upstream is slow and not silent.

--- a/src/callers/caller_server.cpp
+++ b/src/callers/caller_server.cpp
@@ -67,7 +67,8 @@
         http.send_json(ready ? status_ok : status_unavailable, "{}");
         return;
     }
-    const running_guard counted(shared);
+    const running_guard counted(shared.running);
+    const running_guard handled(shared.handling);
     if (shared.stopping) {
         http.send_problem(refuse(refusal_reason::stopping, "this instance takes no more", {}));
         return;
@@ -76,7 +77,7 @@
         http.send_problem(refuse(refusal_reason::not_ready, "this instance isn't ready", {}));
         return;
     }
-    if (counted.number() > 2 * shared.settings.concurrent) {
+    if (handled.number() > shared.settings.concurrent) {
         refusal why = refuse(refusal_reason::overloaded, "too many requests at once", {});
         why.retry_after = 1000ms;
         http.send_problem(why);
--- a/src/callers/internal/serving.h
+++ b/src/callers/internal/serving.h
@@ -12,16 +12,17 @@
     caller_settings settings;
     caller_dependencies with;
     std::atomic<bool> stopping{false};
-    std::atomic<int> running{0};  //!< requests and runs
+    std::atomic<int> running{0};   //!< requests and runs
+    std::atomic<int> handling{0};  //!< requests with a caller
 };
 
-//! Counts one request or run as long as it lives.
+//! Counts one as long as it lives.
 class running_guard {
 public:
-    explicit running_guard(serving& shared) : shared_(shared), number_(++shared.running) {}
+    explicit running_guard(std::atomic<int>& counter) : counter_(counter), number_(++counter) {}
 
     ~running_guard() {
-        --shared_.running;
+        --counter_;
     }
 
     running_guard(const running_guard&) = delete;
@@ -35,7 +36,7 @@
     }
 
 private:
-    serving& shared_;
+    std::atomic<int>& counter_;
     int number_;
 };
 
--- a/src/callers/pipeline_handler.cpp
+++ b/src/callers/pipeline_handler.cpp
@@ -35,7 +35,7 @@
 
 //! Runs the stages on a thread of their own, so that a slow caller holds up no upstream.
 void start_run(exchange& one, const std::shared_ptr<answer>& sink) {
-    auto counted = std::make_shared<running_guard>(one.shared);
+    auto counted = std::make_shared<running_guard>(one.shared.running);
     auto run = [&shared = one.shared, &pipeline = one.pipeline, input = one.input,
                 request = one.request, sink, counted = std::move(counted)]() mutable {
         const run_environment env = environment_of(shared);
--- a/src/callers/tests/caller_server_tests.cpp
+++ b/src/callers/tests/caller_server_tests.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-const bool leaks_unchecked = [] {
-    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-    return true;
-}();
-
 constexpr int tokens_in_answer = 3;
 
 void answer_rightly(const upstream_request& request, const reply_socket& socket) {
@@ -52,19 +47,49 @@
 
 //! One instance with a fake control side and one upstream for all pools.
 struct instance {
-    explicit instance(const topology& topology_known, upstream_script script)
-        : known(topology_known), upstream(std::move(script)) {
-        for (const auto& [name, pool] : known.pools) {
-            control.pools[name.value] = {{"u-" + name.value, upstream.address()}};
+    instance(std::string name, const topology& wanted, upstream_script script)
+        : self{{std::move(name)}, "peer", {"z1"}}, known(wanted), upstream(std::move(script)) {
+        for (const auto& [pool, settings] : known.pools) {
+            control.pools[pool.value] = {{"u-" + pool.value, upstream.address()}};
         }
-        caller_dependencies with{control.client(), *upstreams, budget,
-                                 answers,          known,      {{"i1"}, "127.0.0.1:1", {"z1"}},
+        caller_dependencies with{control.client(), *upstreams, budget, answers, known, self,
                                  nullptr,          nullptr,    nullptr};
+        with.read_peer = [this](const member& peer, std::string_view query, milliseconds) {
+            return read_peer(peer, query);
+        };
+        with.peers = [this] {
+            std::vector<member> others;
+            for (const instance* other : peers) {
+                others.push_back(other->self);
+            }
+            return others;
+        };
+        with.record = [this](const request_record& ended) {
+            const std::lock_guard lock(control.mutex);
+            records.push_back(ended);
+        };
         server = std::move(caller_server::start({}, std::move(with)).value());
     }
 
+    result<std::string> read_peer(const member& peer, std::string_view query) {
+        for (instance* other : peers) {
+            if (other->self.id == peer.id && other->reachable) {
+                return other->answers.answer_read(query);
+            }
+        }
+        return error{error_kind::unreachable, "no such peer"};
+    }
+
+    [[nodiscard]] int port() const {
+        return server->port();
+    }
+
+    member self;
     topology known;
     fake_control control;
+    std::vector<request_record> records;
+    std::vector<instance*> peers;
+    std::atomic<bool> reachable{true};
     scripted_upstream upstream;
     std::unique_ptr<upstream_client> upstreams = std::move(upstream_client::start({}).value());
     retry_budget budget{{}};
@@ -72,6 +97,51 @@
     std::unique_ptr<caller_server> server;
 };
 
+//! Opens once.
+class gate {
+public:
+    void open() {
+        const std::lock_guard lock(mutex_);
+        open_ = true;
+        changed_.notify_all();
+    }
+
+    void wait() {
+        std::unique_lock lock(mutex_);
+        changed_.wait(lock, [this] { return open_; });
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    bool open_{false};
+};
+
+//! Answers stages at once, and holds token streams after the first token until the gate opens.
+upstream_script held_by(gate& open_later) {
+    return [&open_later](const upstream_request& request, const reply_socket& socket) {
+        if (request.path != "/v1/generate") {
+            answer_rightly(request, socket);
+            return;
+        }
+        begin_stream(request, socket);
+        send_token(request, socket, 0);
+        open_later.wait();
+        for (int index = 1; index < tokens_in_answer; ++index) {
+            send_token(request, socket, index);
+        }
+        send_done(request, socket, tokens_in_answer);
+        end_stream(socket);
+    };
+}
+
+claim_reply claim_of(claim_verdict verdict, const member& runner) {
+    claim_reply told;
+    told.verdict = verdict;
+    told.runner = runner;
+    return told;
+}
+
 caller_request pipeline_request(const std::string& body) {
     caller_request asked;
     asked.path = "/v1/pipelines/menu";
@@ -80,19 +150,26 @@
     return asked;
 }
 
-}  // namespace
-
-TEST_GROUP(caller_server){};
+caller_request keyed_request(const std::string& key, const std::string& input = "dish") {
+    caller_request asked = pipeline_request(nlohmann::json{{"input", input}}.dump());
+    asked.headers.push_back("Idempotency-Key: " + key);
+    return asked;
+}
 
-TEST(caller_server, a_pipeline_streams_numbered_frames_and_a_final_one) {
-    // GIVEN four stages that answer rightly
-    instance one(four_stages(), answer_rightly);
+caller_request frames_request(const std::string& key, int from) {
+    caller_request asked;
+    asked.method = "GET";
+    asked.path = "/v1/requests/" + key + "/frames?from=" + std::to_string(from);
+    asked.headers = {"Authorization: Bearer secret"};
+    return asked;
+}
 
-    // WHEN a caller asks
-    const caller_reply reply =
-        ask(one.server->port(), pipeline_request(R"({"input":"dish","max_tokens":16})"));
+std::string field_of(const caller_reply& reply, const char* name) {
+    const nlohmann::json problem = nlohmann::json::parse(reply.body, nullptr, false);
+    return problem.is_object() ? problem.value(name, "") : "";
+}
 
-    // THEN the frames come in order, the last with count and digest
+void check_whole(const caller_reply& reply) {
     LONGS_EQUAL(200, reply.status);
     const auto frames = frames_of(reply);
     UNSIGNED_LONGS_EQUAL(tokens_in_answer + 1, frames.size());
@@ -100,10 +177,32 @@
         UNSIGNED_LONGS_EQUAL(at, frames[at].at("frame").get<std::size_t>());
     }
     CHECK(frames.back().at("final") == true);
-    LONGS_EQUAL(tokens_in_answer, frames.back().at("count").get<int>());
-    STRCMP_EQUAL(digest_of("t0 t1 t2 ").c_str(),
-                 frames.back().at("digest").get<std::string>().c_str());
-    UNSIGNED_LONGS_EQUAL(4, frames.back().at("costs").size());
+    STRCMP_EQUAL(digest_of("t0 t1 t2 ").c_str(), frames.back().value("digest", "").c_str());
+}
+
+template <typename Condition>
+void wait_until(Condition holds) {
+    while (!holds()) {
+        std::this_thread::sleep_for(2ms);
+    }
+}
+
+}  // namespace
+
+TEST_GROUP(caller_server){};
+
+TEST(caller_server, a_pipeline_streams_numbered_frames_and_a_final_one) {
+    // GIVEN four stages that answer rightly
+    instance one("i1", four_stages(), answer_rightly);
+
+    // WHEN a caller asks
+    const caller_reply reply =
+        ask(one.port(), pipeline_request(R"({"input":"dish","max_tokens":16})"));
+
+    // THEN the frames come in order, the last with count, digest and costs
+    check_whole(reply);
+    LONGS_EQUAL(tokens_in_answer, frames_of(reply).back().at("count").get<int>());
+    UNSIGNED_LONGS_EQUAL(4, frames_of(reply).back().at("costs").size());
 
     // THEN each stage was given what the one before it put out
     const auto asked = one.upstream.requests();
@@ -117,3 +216,182 @@
     UNSIGNED_LONGS_EQUAL(1, one.control.all_posted<request_ended>().size());
     LONGS_EQUAL(tokens_in_answer, one.control.all_posted<request_ended>()[0].tokens);
 }
+
+TEST(caller_server, a_repeat_joins_the_running_request_and_both_get_the_whole_answer) {
+    // GIVEN a keyed request that runs
+    gate finish;
+    instance one("i1", four_stages(), held_by(finish));
+    one.control.on_claim = [](const claim_request&) { return claim_reply{}; };
+    caller_reply first;
+    std::thread caller([&] { first = ask(one.port(), keyed_request("k1")); });
+    wait_until([&] { return one.upstream.requests().size() == 4; });
+
+    // WHEN it is repeated here and through another instance that is told to join
+    instance two("i2", four_stages(), answer_rightly);
+    two.peers = {&one};
+    two.control.on_claim = [&one](const claim_request&) {
+        return claim_of(claim_verdict::join, one.self);
+    };
+    caller_reply second;
+    caller_reply third;
+    std::thread here([&] { second = ask(one.port(), keyed_request("k1")); });
+    std::thread there([&] { third = ask(two.port(), keyed_request("k1")); });
+    wait_until([&] { return one.server->running() >= 3; });
+    finish.open();
+    caller.join();
+    here.join();
+    there.join();
+
+    // THEN all have the whole answer, and it ran once
+    check_whole(first);
+    check_whole(second);
+    check_whole(third);
+    UNSIGNED_LONGS_EQUAL(4, one.upstream.requests().size());
+    UNSIGNED_LONGS_EQUAL(0, two.upstream.requests().size());
+
+    // THEN its frames can be read again from a number through either instance
+    for (const instance* any : {&one, &two}) {
+        const caller_reply again = ask(any->port(), frames_request("k1", 2));
+        const auto frames = frames_of(again);
+        UNSIGNED_LONGS_EQUAL(2, frames.size());
+        LONGS_EQUAL(2, frames[0].at("frame").get<int>());
+        CHECK(frames[1].at("final") == true);
+    }
+
+    // THEN the same key with another body is refused, and nothing of it ran
+    const caller_reply reused = ask(one.port(), keyed_request("k1", "other dish"));
+    LONGS_EQUAL(409, reused.status);
+    STRCMP_EQUAL("not_run", field_of(reused, "execution").c_str());
+
+    // THEN a key that nobody used isn't found, nor is it with another caller's secret
+    LONGS_EQUAL(404, ask(two.port(), frames_request("k2", 0)).status);
+    caller_request foreign = frames_request("k1", 0);
+    foreign.headers = {"Authorization: Bearer other"};
+    LONGS_EQUAL(404, ask(one.port(), foreign).status);
+}
+
+TEST(caller_server, a_joined_instance_that_dies_is_replaced_without_a_lost_or_doubled_frame) {
+    // GIVEN a request that runs at one instance and is followed through another
+    gate finish;
+    instance one("i1", four_stages(), held_by(finish));
+    instance two("i2", four_stages(), answer_rightly);
+    two.peers = {&one};
+    two.control.on_claim = [&one](const claim_request&) {
+        return claim_of(claim_verdict::join, one.self);
+    };
+    caller_reply runner;
+    std::thread caller([&] { runner = ask(one.port(), keyed_request("k1")); });
+    wait_until([&] { return one.upstream.requests().size() == 4; });
+    const int socket = connect_to(two.port());
+    send_bytes(socket, bytes_of(keyed_request("k1")));
+    std::string head(1, ' ');
+    (void)recv(socket, head.data(), 1, 0);  // the first frame has come
+
+    // WHEN the first can't be reached any more
+    one.reachable = false;
+    const caller_reply followed = parse_reply(head + read_to_end(socket));
+    close(socket);
+
+    // THEN the other runs it itself and goes on where the frames had ended
+    check_whole(followed);
+    UNSIGNED_LONGS_EQUAL(4, two.upstream.requests().size());
+    finish.open();
+    caller.join();
+    check_whole(runner);
+}
+
+TEST(caller_server, a_keyed_request_outlives_its_caller_and_an_unkeyed_one_does_not) {
+    // GIVEN a keyed and an unkeyed request that run
+    gate finish;
+    instance one("i1", four_stages(), held_by(finish));
+    const int keyed = connect_to(one.port());
+    const int unkeyed = connect_to(one.port());
+    send_bytes(keyed, bytes_of(keyed_request("k1")));
+    send_bytes(unkeyed, bytes_of(pipeline_request(R"({"input":"dish"})")));
+    wait_until([&] { return one.upstream.requests().size() == 8; });
+
+    // WHEN both callers close, and the stages go on
+    for (const int socket : {keyed, unkeyed}) {
+        const linger hard{1, 0};
+        setsockopt(socket, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+        close(socket);
+    }
+    finish.open();
+
+    // THEN the keyed answer is kept whole, and everything ends
+    caller_reply again;
+    wait_until([&] {
+        again = ask(one.port(), frames_request("k1", 0));
+        return again.status == 200;
+    });
+    check_whole(again);
+    wait_until([&] { return one.server->drained(); });
+    UNSIGNED_LONGS_EQUAL(2, one.control.all_posted<request_ended>().size());
+    UNSIGNED_LONGS_EQUAL(1, one.control.all_posted<claim_ended>().size());
+}
+
+TEST(caller_server, a_stop_refuses_new_requests_and_finishes_the_running_ones) {
+    // GIVEN a request that runs
+    gate finish;
+    instance one("i1", four_stages(), held_by(finish));
+    caller_reply running;
+    std::thread caller([&] { running = ask(one.port(), pipeline_request(R"({"input":"dish"})")); });
+    wait_until([&] { return one.upstream.requests().size() == 4; });
+
+    // WHEN the instance is to stop
+    one.server->stop_accepting();
+
+    // THEN it isn't ready, refuses as not run, and closes the connection
+    const caller_reply refused = ask(one.port(), pipeline_request(R"({"input":"dish"})"));
+    LONGS_EQUAL(503, refused.status);
+    STRCMP_EQUAL("stopping", field_of(refused, "reason").c_str());
+    STRCMP_EQUAL("not_run", field_of(refused, "execution").c_str());
+    CHECK(refused.head.find("Connection: close") != std::string::npos);
+    LONGS_EQUAL(503, ask(one.port(), {"GET", "/readyz", {}, {}}).status);
+    LONGS_EQUAL(200, ask(one.port(), {"GET", "/livez", {}, {}}).status);
+    CHECK_FALSE(one.server->drained());
+
+    // THEN the running one gets its whole answer, and the instance is empty
+    finish.open();
+    caller.join();
+    check_whole(running);
+    wait_until([&] { return one.server->drained(); });
+}
+
+TEST(caller_server, services_answer_or_refuse_with_what_is_known) {
+    // GIVEN a service and a home that gives permits
+    instance one("i1", four_stages(), answer_rightly);
+    one.control.on_permit = [](const permit_request&) {
+        permit_reply told;
+        told.verdict = permit_verdict::granted;
+        told.permit = "p1";
+        return told;
+    };
+    caller_request book;
+    book.path = "/v1/services/booking/book";
+    book.headers = {"Authorization: Bearer secret"};
+    book.body = R"({"seats":2})";
+
+    // WHEN a booking comes without a key THEN it is refused as not run
+    const caller_reply refused = ask(one.port(), book);
+    LONGS_EQUAL(400, refused.status);
+    STRCMP_EQUAL("key_required", field_of(refused, "reason").c_str());
+    STRCMP_EQUAL("Idempotency-Key", field_of(refused, "place").c_str());
+    UNSIGNED_LONGS_EQUAL(0, one.upstream.requests().size());
+
+    // WHEN it comes with a key THEN it runs, and its key and body reach the service
+    book.headers.emplace_back("Idempotency-Key: k1");
+    const caller_reply booked = ask(one.port(), book);
+    LONGS_EQUAL(200, booked.status);
+    STRCMP_EQUAL("call>book", field_of(booked, "output").c_str());
+    STRCMP_EQUAL("k1", one.upstream.requests().at(0).headers.at("idempotency-key").c_str());
+    UNSIGNED_LONGS_EQUAL(1, one.control.all_posted<call_ended>().size());
+
+    // WHEN admission refuses THEN the caller is told so, and no request is counted as ended
+    one.control.admit_refusal =
+        refusal{refusal_reason::rate_limited, execution::not_run, {}, {}, 1500ms};
+    const caller_reply limited = ask(one.port(), book);
+    LONGS_EQUAL(429, limited.status);
+    CHECK(limited.head.find("Retry-After: 2") != std::string::npos);
+    UNSIGNED_LONGS_EQUAL(1, one.control.all_posted<request_ended>().size());
+}
--- a/src/pipeline/answer_store.cpp
+++ b/src/pipeline/answer_store.cpp
@@ -8,6 +8,7 @@
 
 using nlohmann::json;
 
+constexpr auto prune_period = 250ms;
 constexpr std::size_t max_read_bytes = std::size_t{256} * 1024;
 
 json part_json(const answer_part& part) {
@@ -50,6 +51,10 @@
 }
 
 void answer_store::prune(instant now) {
+    if (now < next_prune_) {
+        return;
+    }
+    next_prune_ = now + prune_period;
     std::size_t bytes = 0;
     std::multimap<instant, answer_key> by_age;
     for (const auto& [key, value] : answers_) {
--- a/src/pipeline/answer_store.h
+++ b/src/pipeline/answer_store.h
@@ -52,6 +52,7 @@
     answer_store_settings settings_;
     std::mutex mutex_;
     std::map<answer_key, std::shared_ptr<answer>> answers_;
+    instant next_prune_;
 };
 
 //! Query for `answer_read` of a peer.
--- a/src/pipeline/stage_run.cpp
+++ b/src/pipeline/stage_run.cpp
@@ -259,6 +259,9 @@
     if (ended.outcome == attempt_outcome::not_started) {
         return;  // the next step asks anew
     }
+    if (ended.fault == attempt_fault::deadline_passed) {
+        return;  // the next step ends the stage
+    }
     tried_.push_back(from.upstream);
     repeating_ = true;
     if (ended.outcome == attempt_outcome::refused && free_repeats_ < most_free_repeats) {
--- a/src/pipeline/tests/fake_control.h
+++ b/src/pipeline/tests/fake_control.h
@@ -3,6 +3,7 @@
 
 #include "control/client.h"
 
+#include <algorithm>
 #include <atomic>
 #include <deque>
 #include <map>
--- a/src/upstreams/canceller.cpp
+++ b/src/upstreams/canceller.cpp
@@ -30,9 +30,6 @@
     }
     curl_multi_wakeup(multi_.get());
     thread_.join();
-    for (sending& value : sending_) {
-        curl_multi_remove_handle(multi_.get(), value.easy.get());
-    }
 }
 
 void canceller::enqueue(cancel_order order) {
@@ -45,14 +42,13 @@
 
 void canceller::run() {
     for (;;) {
-        {
-            const std::lock_guard lock(mutex_);
-            if (stopping_) {
-                return;
-            }
+        const bool stopping = take_orders();
+        if (stopping && sending_.empty()) {
+            return;  // each order was sent once; what is waiting to be sent again isn't
+        }
+        if (!stopping) {
+            retry_due();
         }
-        take_orders();
-        retry_due();
         int running = 0;
         curl_multi_perform(multi_.get(), &running);
         collect();
@@ -62,15 +58,18 @@
     }
 }
 
-void canceller::take_orders() {
+bool canceller::take_orders() {
     std::deque<std::unique_ptr<cancel_order>> taken;
+    bool stopping = false;
     {
         const std::lock_guard lock(mutex_);
         taken.swap(orders_);
+        stopping = stopping_;
     }
     for (auto& order : taken) {
         send(std::move(order));
     }
+    return stopping;
 }
 
 void canceller::send(std::unique_ptr<cancel_order> order) {
--- a/src/upstreams/internal/canceller.h
+++ b/src/upstreams/internal/canceller.h
@@ -40,7 +40,7 @@
     };
 
     void run();
-    void take_orders();
+    bool take_orders();  //!< true if this is to stop
     void send(std::unique_ptr<cancel_order> order);
     void collect();
     void retry_due();
--- a/src/upstreams/internal/transfer.h
+++ b/src/upstreams/internal/transfer.h
@@ -58,7 +58,8 @@
 
     attempt_call call_;
     grant_guard guard_;
-    milliseconds silence_;
+    milliseconds first_byte_silence_;
+    milliseconds stream_silence_;
     easy_handle easy_;
     header_list headers_;
     std::string body_;
@@ -66,6 +67,7 @@
     instant begun_;
     instant last_progress_;
     instant first_token_at_;
+    bool answering_{false};  //!< the answer has begun
     bool sent_{false};
     bool window_passed_{false};
 };
--- a/src/upstreams/tests/upstream_client_tests.cpp
+++ b/src/upstreams/tests/upstream_client_tests.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-const bool leaks_unchecked = [] {
-    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
-    return true;
-}();
-
 //! Keeps what was posted.
 struct posted_events {
     void add(const event& happened) {
@@ -36,6 +31,7 @@
 
 upstream_client_settings quick_settings() {
     upstream_client_settings settings;
+    settings.first_byte_silence = 150ms;
     settings.stream_silence = 150ms;
     return settings;
 }
--- a/src/upstreams/transfer.cpp
+++ b/src/upstreams/transfer.cpp
@@ -70,7 +70,8 @@
 }  // namespace
 
 transfer::transfer(attempt_call call, grant_guard guard, const upstream_client_settings& settings)
-    : call_(std::move(call)), guard_(std::move(guard)), silence_(settings.stream_silence),
+    : call_(std::move(call)), guard_(std::move(guard)),
+      first_byte_silence_(settings.first_byte_silence), stream_silence_(settings.stream_silence),
       easy_(curl_easy_init()), begun_(boot_clock::now()), last_progress_(begun_) {
     reader_.next_index = call_.resume_from;
     set_request(settings);
@@ -144,6 +145,7 @@
 std::size_t transfer::on_header(char* data, std::size_t size, std::size_t count, void* self) {
     auto& me = *static_cast<transfer*>(self);
     me.last_progress_ = boot_clock::now();
+    me.answering_ = true;
     read_header(me.reader_, std::string_view(data, size * count));
     return size * count;
 }
@@ -184,7 +186,11 @@
 }
 
 instant transfer::next_check() const {
-    return call_.key.empty() ? std::min(call_.deadline, last_progress_ + silence_) : call_.deadline;
+    if (!call_.key.empty()) {
+        return call_.deadline;
+    }
+    const milliseconds silence = answering_ ? stream_silence_ : first_byte_silence_;
+    return std::min(call_.deadline, last_progress_ + silence);
 }
 
 attempt_fault transfer::overdue(instant now) const {
--- a/src/upstreams/upstream_client.h
+++ b/src/upstreams/upstream_client.h
@@ -13,9 +13,10 @@
 
 struct upstream_client_settings {
     milliseconds connect_timeout{500};
-    milliseconds stream_silence{1500};  //!< a connection without progress for this long is closed
-    milliseconds cancel_timeout{300};   //!< of one cancel order
-    int connections_kept{8};            //!< idle connections of one concurrent request
+    milliseconds first_byte_silence{2500};  //!< longest wait for the answer to begin
+    milliseconds stream_silence{1500};      //!< longest pause within an answer
+    milliseconds cancel_timeout{300};       //!< of one cancel order
+    int connections_kept{8};                //!< idle connections of one concurrent request
 };
 
 //! Answers that were not accepted.
