--- a/src/http_loop/http_loop.cpp
+++ b/src/http_loop/http_loop.cpp
@@ -35,6 +35,7 @@
     std::thread thread;
 
     void run();
+    bool enqueue(owned_transfer& wanted);
     bool start_submitted();
     void start(owned_transfer wanted);
     void finish_ended();
@@ -127,17 +128,21 @@
     return std::unique_ptr<http_loop>(new http_loop(std::move(state)));
 }
 
+//! Takes the transfer unless the loop is ending.
+bool http_loop::impl::enqueue(owned_transfer& wanted) {
+    const std::lock_guard lock(mutex);
+    if (stopping) {
+        return false;
+    }
+    submitted.push_back(std::move(wanted));
+    return true;
+}
+
 void http_loop::submit(http_request request, std::function<void(result<http_response>)> done) {
     auto wanted = std::make_unique<detail::transfer>();
     wanted->request = std::move(request);
     wanted->done = std::move(done);
-    {
-        const std::lock_guard lock(impl_->mutex);
-        if (!impl_->stopping) {
-            impl_->submitted.push_back(std::move(wanted));
-        }
-    }
-    if (wanted != nullptr) {  // the loop is ending: nothing is sent any more
+    if (!impl_->enqueue(wanted)) {
         wanted->done(error{error_kind::unreachable, "the loop has ended"});
         return;
     }
--- a/src/http_loop/http_loop.h
+++ b/src/http_loop/http_loop.h
@@ -39,8 +39,9 @@
     http_loop& operator=(http_loop&&) = delete;
 
     //! Never blocks. `done` is called on the loop's thread, exactly once, at the latest when the
-    //! loop ends. A method other than GET gets a connection of its own: libcurl repeats a request
-    //! by itself when a reused connection closes without an answer.
+    //! loop ends; by the caller if it is ending already. A method other than GET gets a connection
+    //! of its own: libcurl repeats a request by itself when a reused connection closes without an
+    //! answer.
     void submit(http_request request, std::function<void(result<http_response>)> done);
 
 private:
--- a/src/http_loop/tests/http_loop_tests.cpp
+++ b/src/http_loop/tests/http_loop_tests.cpp
@@ -71,6 +71,11 @@
         loop.reset();
     }
 
+    fixture(const fixture&) = delete;
+    fixture& operator=(const fixture&) = delete;
+    fixture(fixture&&) = delete;
+    fixture& operator=(fixture&&) = delete;
+
     void submit(const std::string& method, milliseconds timeout) {
         loop->submit({method, "http://" + server->address() + "/x", {}, "body", timeout},
                      [this](result<http_response> answer) { answers.add(std::move(answer)); });
