Members serve through a change of the roster, and leave only once drained

Cause: replacing instances under load, 4 instances, 40 requests a second: 108 of 998 requests were refused as not ready with SIGTERM, 244 of 797 with SIGKILL. Two causes were seen in the code: while a generation settles, nobody counted as a member; and a stopping instance left the roster at once, so that its own requests could not acquire their next stages. With SIGKILL every attempt whose trial home was dead also waited 500 ms. Change: a member of both generations stays one; an instance leaves once nothing runs; attempts of begun requests wait for news instead of being refused; a home that misses two heartbeats isn't waited for. An instance that hears of unknown emergency orders doesn't vouch until it has them.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -8,11 +8,14 @@
 
 namespace {
 
-//! Runs every part on one event, in the order in which they read each other.
+//! Runs every part on one event, in the order in which they read each other. The roster hears of a
+//! stop only once nothing runs.
 effects reduce_parts(control_state& state, const event& happened, instant now) {
     effects out;
     const auto& env = state.env;
-    reduce_roster(state.roster, env, happened, now, out);
+    if (!std::holds_alternative<stop_wanted>(happened)) {
+        reduce_roster(state.roster, env, happened, now, out);
+    }
     reduce_documents(state.documents, env, state.roster, happened, now, out);
     reduce_slots(state.slots, env, state.roster, state.documents, happened, now, out);
     reduce_shares(state.shares, env, state.roster, state.documents, happened, now, out);
@@ -23,6 +26,9 @@
                     state.quarantine, happened, now, out);
     reduce_admission(state.admission, env, state.roster, state.documents, state.shares,
                      state.quarantine, state.dispatch, happened, now, out);
+    if (wants_to_leave(state.admission)) {
+        reduce_roster(state.roster, env, stop_wanted{}, now, out);
+    }
     return out;
 }
 
--- a/src/coordination/admission/admission.cpp
+++ b/src/coordination/admission/admission.cpp
@@ -134,8 +134,10 @@
     return admission{workspace->name, workspace->plan, limits->priority, left};
 }
 
-void end_drain(admission_state& state, const roster_state& roster, effects& out) {
-    if (!state.stopping || state.drained || !state.running.empty() || is_member(roster)) {
+void end_drain(admission_state& state, const admission_context& context, effects& out) {
+    const bool waits =
+        !state.running.empty() || !has_left(context.roster, context.env, context.now);
+    if (!state.stopping || state.drained || waits) {
         return;
     }
     state.drained = true;
@@ -167,7 +169,11 @@
     if (std::holds_alternative<stop_wanted>(happened)) {
         state.stopping = true;
     }
-    end_drain(state, roster, out);
+    end_drain(state, context, out);
+}
+
+bool wants_to_leave(const admission_state& state) {
+    return state.stopping && state.running.empty();
 }
 
 bool is_ready(const admission_state& state, const roster_state& roster,
--- a/src/coordination/admission/admission.h
+++ b/src/coordination/admission/admission.h
@@ -22,6 +22,10 @@
                       const quarantine_state& quarantine, const dispatch_state& dispatch,
                       const event& happened, instant now, effects& out);
 
+//! True once this instance is stopping and nothing runs: only then it leaves the roster, so that
+//! what still runs is counted by the homes and can acquire its remaining stages.
+bool wants_to_leave(const admission_state& state);
+
 //! True if this instance takes requests: it has both lists, is a member, and isn't stopping.
 bool is_ready(const admission_state& state, const roster_state& roster,
               const documents_state& documents);
--- a/src/coordination/dispatch/dispatch.cpp
+++ b/src/coordination/dispatch/dispatch.cpp
@@ -15,9 +15,6 @@
 //! Attempts that may wait here.
 constexpr std::size_t most_pending = 1000;
 
-//! An instance that can't vouch for what is out refuses after this time.
-constexpr milliseconds vouch_patience{500};
-
 //! A home may keep a slot request for this part of the start window.
 constexpr milliseconds slot_wait_margin{150};
 
@@ -27,11 +24,12 @@
 //! Questions for slots of one pool that may be open at once, per unit of cold capacity.
 constexpr std::size_t questions_per_capacity = 2;
 
-//! An unanswered question for a trial is repeated after this time.
+//! After this time without an answer to its question for a trial, a request that isn't suspect goes
+//! on; a suspect asks again.
 constexpr milliseconds trial_patience{250};
 
-//! After this many questions without an answer, a request that isn't suspect goes on.
-constexpr int most_trial_asks = 2;
+//! A home that has missed this many heartbeats isn't waited for.
+constexpr int missed_heartbeats = 2;
 
 constexpr milliseconds retry_hint{1000};
 
@@ -79,6 +77,12 @@
 
 // --- trials -------------------------------------------------------------------------------------
 
+bool hears_trial_home(const dispatch_context& context, const fingerprint& tried) {
+    const auto home = trial_home(context.roster, tried);
+    const milliseconds patience = missed_heartbeats * context.env.timing.heartbeat + trial_patience;
+    return home && is_reachable(context.roster, home->id, patience, context.now);
+}
+
 //! True once the request may run as far as its crash record goes.
 bool has_trial(dispatch_context& context, pending_attempt& pending) {
     if (pending.trial_granted || pending.wanted.body.empty()) {
@@ -90,14 +94,13 @@
         return false;
     }
     const bool suspect = is_suspect(context.quarantine, pending.wanted.body);
-    if (pending.trial_asks >= most_trial_asks && !suspect) {
+    const fingerprint tried = tried_in(pending.wanted.body, pending.wanted.pool);
+    if (!suspect && (pending.trial_asked_at || !hears_trial_home(context, tried))) {
         return true;
     }
     pending.trial_asked_at = context.now;
-    ++pending.trial_asks;
-    const trial_request request{pending.wanted.number,
-                                tried_in(pending.wanted.body, pending.wanted.pool),
-                                pending.wanted.attempt, pending.deadline - context.now};
+    const trial_request request{pending.wanted.number, tried, pending.wanted.attempt,
+                                pending.deadline - context.now};
     const bool asked = ask_trial(context.roster, request, context.out);
     return !asked && !suspect;
 }
@@ -180,6 +183,14 @@
     }
 }
 
+//! True if homes count this instance's work and its news of what is out is fresh. Otherwise
+//! attempts wait: their requests have begun, and the instance may be heard again within their
+//! deadline.
+bool may_start_work(const dispatch_context& context) {
+    return is_member(context.roster) && has_lists(context.documents) &&
+           is_vouched(context.documents, context.env, context.roster, context.now);
+}
+
 //! Does what can be done now for a pending attempt; it stays pending if nothing can.
 void advance(dispatch_context& context, const attempt_id& attempt) {
     pending_attempt& pending = context.state.pending.at(attempt);
@@ -188,11 +199,7 @@
                        "The request crashed the upstreams that ran it.", execution::ran);
         return;
     }
-    if (!is_vouched(context.documents, context.env, context.roster, context.now)) {
-        if (context.now - pending.asked_at >= vouch_patience) {
-            refuse_pending(context, attempt, refusal_reason::not_ready,
-                           "This instance hears neither the store nor its peers.");
-        }
+    if (!may_start_work(context)) {
         return;
     }
     if (!has_trial(context, pending) || waits_for_slot(context, pending)) {
@@ -229,13 +236,22 @@
     return ids;
 }
 
+void refuse_late(dispatch_context& context, const attempt_id& attempt) {
+    if (may_start_work(context)) {
+        refuse_pending(context, attempt, refusal_reason::overloaded,
+                       "No capacity within the deadline.");
+    } else {
+        refuse_pending(context, attempt, refusal_reason::not_ready,
+                       "This instance hears neither the store nor its peers.");
+    }
+}
+
 //! Tries all that wait, best priority first.
 void advance_all(dispatch_context& context) {
     for (const attempt_id& attempt : by_priority(context.state)) {
         const pending_attempt& pending = context.state.pending.at(attempt);
         if (is_too_late(context, pending)) {
-            refuse_pending(context, attempt, refusal_reason::overloaded,
-                           "No capacity within the deadline.");
+            refuse_late(context, attempt);
             continue;
         }
         advance(context, attempt);
@@ -249,9 +265,6 @@
     if (wanted.time_left <= milliseconds(0)) {
         return refusal_reason::deadline_exceeded;
     }
-    if (!is_member(context.roster) || !has_lists(context.documents)) {
-        return refusal_reason::not_ready;
-    }
     if (!context.env.pools.pools.contains(wanted.pool)) {
         return refusal_reason::no_upstream;
     }
@@ -305,7 +318,7 @@
         return;
     }
     if (!reply.granted) {
-        found->second.trial_asks = 0;
+        found->second.trial_asked_at.reset();
         return;
     }
     found->second.trial_granted = true;
--- a/src/coordination/dispatch/dispatch.h
+++ b/src/coordination/dispatch/dispatch.h
@@ -14,7 +14,6 @@
     instant deadline;
     bool trial_granted{false};
     std::optional<instant> trial_asked_at;
-    int trial_asks{0};
     std::optional<upstream_id> slot_asked;  //!< waiting for this upstream's home
     attempt_id slot;                        //!< name of the slot asked for, unique to the question
     instant slot_asked_at;
--- a/src/coordination/documents/documents.cpp
+++ b/src/coordination/documents/documents.cpp
@@ -152,6 +152,17 @@
     });
 }
 
+namespace {
+
+//! True if the peer may hold an emergency order that this instance doesn't.
+bool holds_unknown_orders(const documents_state& state, const known_versions& peer) {
+    const auto digest = peer.emergency_digest;
+    return digest != 0 && digest != emergency_digest(state) &&
+           !state.merged_digests.contains(digest);
+}
+
+}  // namespace
+
 bool is_vouched(const documents_state& state, const environment& env, const roster_state& roster,
                 instant now) {
     const milliseconds vouch = env.timing.vouch;
@@ -159,7 +170,8 @@
     const bool is_behind =
         std::any_of(roster.heard.begin(), roster.heard.end(), [&](const auto& entry) {
             const heard_peer& peer = entry.second;
-            return now - peer.asked_at <= vouch && peer.versions.availability > held;
+            return now - peer.asked_at <= vouch && (peer.versions.availability > held ||
+                                                    holds_unknown_orders(state, peer.versions));
         });
     if (is_behind) {
         return false;
@@ -181,12 +193,28 @@
     return found == state.allowances.plans.end() ? nullptr : &found->second;
 }
 
-std::uint64_t emergency_digest(const documents_state& state) {
+std::uint64_t digest_of_orders(const std::vector<emergency_order>& orders) {
     std::uint64_t digest = 0;
-    for (const auto& [operation, order] : state.emergency) {
-        digest ^= XXH3_64bits(operation.data(), operation.size());
+    for (const auto& order : orders) {
+        digest ^= XXH3_64bits(order.operation.data(), order.operation.size());
     }
     return digest;
 }
 
+std::uint64_t emergency_digest(const documents_state& state) {
+    return digest_of_orders(detail::held_orders(state));
+}
+
+namespace detail {
+
+std::vector<emergency_order> held_orders(const documents_state& state) {
+    std::vector<emergency_order> orders;
+    for (const auto& [operation, order] : state.emergency) {
+        orders.push_back(order);
+    }
+    return orders;
+}
+
+}  // namespace detail
+
 }  // namespace cyclamenmount
--- a/src/coordination/documents/documents.h
+++ b/src/coordination/documents/documents.h
@@ -56,8 +56,9 @@
     allowance_list allowances;
     availability out;
     std::map<std::string, emergency_order> emergency;  //!< by operation
-    std::map<std::string, object_version> recorded;    //!< operations seen in availability, bounded
-    std::map<std::uint64_t, pending_edit> edits;       //!< by number of the store call
+    std::set<std::uint64_t> merged_digests;  //!< of sets of orders that are held here, or recorded
+    std::map<std::string, object_version> recorded;  //!< operations seen in availability, bounded
+    std::map<std::uint64_t, pending_edit> edits;     //!< by number of the store call
     std::optional<instant> store_heard_at;  //!< the store's last news of a watch are from then on
     bool watch_in_flight{false};
     instant watch_asked_at;
@@ -97,7 +98,10 @@
 
 const allowance* find_allowance(const documents_state& state, const plan_name& plan);
 
-//! Order-independent digest of the emergency orders held; 0 if none.
+//! Order-independent digest of a set of emergency orders; 0 if it is empty.
+std::uint64_t digest_of_orders(const std::vector<emergency_order>& orders);
+
+//! Digest of the emergency orders held; 0 if none.
 std::uint64_t emergency_digest(const documents_state& state);
 
 }  // namespace cyclamenmount
--- a/src/coordination/documents/edits.cpp
+++ b/src/coordination/documents/edits.cpp
@@ -119,11 +119,7 @@
     if (!context.state.recorded.contains(order.operation)) {
         context.state.emergency.emplace(order.operation, order);
     }
-    emergency_notice notice;
-    for (const auto& [operation, each] : context.state.emergency) {
-        notice.orders.push_back(each);
-    }
-    send_to_members(context, notice);
+    send_to_members(context, emergency_notice{held_orders(context.state)});
     log_documents(context, severity::warning,
                   "The store is silent; " + describe(order) + " by emergency order.");
     decide(context, edit, edit_decided::verdict::emergency,
--- a/src/coordination/documents/internal/parts.h
+++ b/src/coordination/documents/internal/parts.h
@@ -46,4 +46,7 @@
 //! Time limits, repeats after a pause, and recording of emergency orders.
 void advance_edits(documents_context& context);
 
+//! The emergency orders held, in order of their operation.
+std::vector<emergency_order> held_orders(const documents_state& state);
+
 }  // namespace cyclamenmount::detail
--- a/src/coordination/documents/spread.cpp
+++ b/src/coordination/documents/spread.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds request_pause{200};
 
 //! Instances outside the roster whose address is remembered.
+constexpr std::size_t kept_digests = 256;
 constexpr std::size_t kept_pinged_by = 64;
 
 struct versioned_name {
@@ -59,11 +60,7 @@
 }
 
 void send_orders(documents_context& context, const member& peer) {
-    emergency_notice notice;
-    for (const auto& [operation, order] : context.state.emergency) {
-        notice.orders.push_back(order);
-    }
-    context.out.emplace_back(send_to_peer{peer, std::move(notice)});
+    context.out.emplace_back(send_to_peer{peer, emergency_notice{held_orders(context.state)}});
 }
 
 void compare_versions(documents_context& context, const instance_id& from,
@@ -125,6 +122,11 @@
                               order.upstream.value + ".");
         }
     }
+    auto& merged = context.state.merged_digests;
+    if (merged.size() >= kept_digests) {
+        merged.clear();
+    }
+    merged.insert(digest_of_orders(notice.orders));
 }
 
 //! A few members watch for all; whoever may be missing news watches too.
--- a/src/coordination/quarantine/quarantine.cpp
+++ b/src/coordination/quarantine/quarantine.cpp
@@ -222,8 +222,12 @@
     });
 }
 
+std::optional<member> trial_home(const roster_state& roster, const fingerprint& tried) {
+    return home_of(roster, detail::trial_home_key(tried));
+}
+
 bool ask_trial(const roster_state& roster, trial_request request, effects& out) {
-    const auto home = home_of(roster, detail::trial_home_key(request.body));
+    const auto home = trial_home(roster, request.body);
     if (!home) {
         return false;
     }
--- a/src/coordination/quarantine/quarantine.h
+++ b/src/coordination/quarantine/quarantine.h
@@ -70,6 +70,9 @@
 //! True if two upstreams have fallen to it.
 bool is_quarantined(const quarantine_state& state, const fingerprint& body);
 
+//! Home of what `tried_in` made; none before a roster is known.
+std::optional<member> trial_home(const roster_state& roster, const fingerprint& tried);
+
 //! Asks the home of the fingerprint for one more attempt; the reply comes as a `trial_reply`.
 //! False if there is no home.
 bool ask_trial(const roster_state& roster, trial_request request, effects& out);
--- a/src/coordination/roster/roster.cpp
+++ b/src/coordination/roster/roster.cpp
@@ -164,7 +164,18 @@
 }
 
 bool is_member(const roster_state& state) {
-    return state.newest.settled && detail::contains(state.newest.members, state.self.id);
+    const bool in_newest = detail::contains(state.newest.members, state.self.id);
+    if (state.newest.settled) {
+        return in_newest;
+    }
+    const bool in_previous =
+        detail::knows_previous(state) && detail::contains(state.previous.members, state.self.id);
+    return in_newest && in_previous;
+}
+
+bool is_reachable(const roster_state& state, const instance_id& id, milliseconds within,
+                  instant now) {
+    return detail::is_heard(state, id, within, now);
 }
 
 void renew_tenure(tenure& held, const roster_state& state, std::string_view key, instant now) {
--- a/src/coordination/roster/roster.h
+++ b/src/coordination/roster/roster.h
@@ -119,9 +119,13 @@
 //! True if a majority of the newest generation answered pings sent within `within`.
 bool hears_majority(const roster_state& state, milliseconds within, instant now);
 
-//! True once this instance is in a settled generation.
+//! True while this instance is in a settled generation and not left out of the next one.
 bool is_member(const roster_state& state);
 
+//! True for this instance itself, and for one that answered a ping sent within `within`.
+bool is_reachable(const roster_state& state, const instance_id& id, milliseconds within,
+                  instant now);
+
 //! How long this instance has been the home of a key without a break that another could have used.
 struct tenure {
     generation_number through{0};  //!< last generation seen as its home; 0: not home
--- a/tools/lib/fleet.py
+++ b/tools/lib/fleet.py
@@ -117,7 +117,7 @@
         self.operators = operators
         self.settings_file = settings_file
         self.process = None
-        self.log = None
+        self.balanced = True  # the balancer sends to it
 
     def alive(self):
         return self.process is not None and self.process.poll() is None
--- a/tools/lib/load.py
+++ b/tools/lib/load.py
@@ -61,7 +61,8 @@
             due += self.period
 
     def live_instances(self):
-        return [one for one in self.fleet.instances if one.alive()]
+        """What the platform's balancer sends to: instances that answered its last readiness check."""
+        return [one for one in self.fleet.instances if one.alive() and one.balanced]
 
     def run_one(self, number, count):
         live = self.live_instances()
