Documents: late end of a silent watch no longer doubles the watches

A watch taken as silent that ended later made its watcher keep two from then on, twice the store calls. Outstanding watches are now kept by the time they were asked. Tests of edits under faults, races, lost and late answers, start with the store down; the tests run on the real roster state.

--- /dev/null
+++ b/src/coordination/dispatch/tests/configuration_tests.cpp
@@ -0,0 +1,239 @@
+#include "coordination/dispatch/tests/fake_fleet.h"
+
+#include <algorithm>
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cyclamenmount;
+using namespace cyclamenmount::testing;
+
+namespace {
+
+using verdict = edit_decided::verdict;
+
+constexpr milliseconds in_force_within{3000};
+
+std::string plans_text(const std::string& workspace) {
+    return "[workspace " + workspace + "]\nplan = small\nkey_sha256 = " + std::string(64, 'a') +
+           "\n";
+}
+
+list_edit_wanted edit_plans(ticket number, const std::string& workspace, object_version base) {
+    list_edit_wanted wanted;
+    wanted.number = number;
+    wanted.document = document_names::plans;
+    wanted.text = plans_text(workspace);
+    wanted.change.operation = "op-" + workspace;
+    wanted.change.who = "ann";
+    wanted.change.base = base;
+    return wanted;
+}
+
+//! Idle instances whose store holds no lists yet.
+std::unique_ptr<fleet> make_idle_fleet() {
+    auto all = std::make_unique<fleet>();
+    fleet_settings settings;
+    settings.instances = 5;
+    settings.concurrent = 0;
+    start_fleet(*all, settings);
+    for (fake_instance& each : all->instances) {
+        each.documents = make_documents(each.env, all->now);
+    }
+    run_for(*all, milliseconds(1000));
+    return all;
+}
+
+bool everywhere(const fleet& all, object_version version) {
+    for (const fake_instance& each : all.instances) {
+        if (each.alive && version_of(each.documents, document_names::plans) != version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+const edit_decided* decision(const fleet& all, std::size_t instance, ticket number) {
+    for (const edit_decided& each : all.instances[instance].edits) {
+        if (each.number == number) {
+            return &each;
+        }
+    }
+    return nullptr;
+}
+
+}  // namespace
+
+TEST_GROUP(configuration_group){};
+
+TEST(configuration_group, an_accepted_list_is_in_force_everywhere_through_faults) {
+    using act = std::function<void(fleet&)>;
+
+    struct row {
+        const char* name;
+        act fault;
+        verdict expected;
+    };
+
+    const std::vector<row> rows = {
+        {"no fault", [](fleet&) {}, verdict::accepted},
+        {"answer lost", [](fleet& all) { all.store.lose_answers = 1; }, verdict::accepted},
+        {"write late, its answer lost",
+         [](fleet& all) {
+             all.store.late_answers = 1;
+             all.store.late_by = milliseconds(800);
+         },
+         verdict::accepted},
+        {"watches silent", [](fleet& all) { all.store.silent_watches = true; }, verdict::accepted},
+        {"the accepting instance cut off from its peers",
+         [](fleet& all) { cut_off(all, 0, false); }, verdict::accepted},
+        {"store down for a while",
+         [](fleet& all) {
+             all.store.up = false;
+             later(all, milliseconds(2000), [&all] { all.store.up = true; });
+         },
+         verdict::accepted},
+        {"store down throughout", [](fleet& all) { all.store.up = false; }, verdict::unknown},
+    };
+    for (const row& each : rows) {
+        // GIVEN a fleet at version 1
+        auto all = make_idle_fleet();
+        post(*all, 0, edit_plans(1, "one", 0));
+        run_for(*all, milliseconds(1000));
+        CHECK_TEXT(everywhere(*all, 1), each.name);
+        // WHEN a list is edited under a fault
+        each.fault(*all);
+        post(*all, 0, edit_plans(2, "two", 1));
+        run_for(*all, milliseconds(5000));
+        // THEN the decision is true, and what was accepted is in force everywhere
+        const edit_decided* decided = decision(*all, 0, 2);
+        CHECK_TEXT(decided != nullptr, each.name);
+        CHECK_TEXT(decided->outcome == each.expected, each.name);
+        const bool accepted = each.expected == verdict::accepted;
+        CHECK_TEXT(everywhere(*all, accepted ? 2 : 1), each.name);
+    }
+}
+
+TEST(configuration_group, is_in_force_within_3_s_of_acceptance) {
+    auto all = make_idle_fleet();
+    post(*all, 2, edit_plans(1, "one", 0));
+    run_for(*all, in_force_within);
+    CHECK(everywhere(*all, 1));
+    STRCMP_EQUAL("one", all->instances[4].documents.plans.workspaces.at(0).name.value.c_str());
+}
+
+TEST(configuration_group, of_two_racing_operators_one_hears_what_the_other_changed) {
+    // GIVEN two operators who read version 1
+    auto all = make_idle_fleet();
+    post(*all, 0, edit_plans(1, "one", 0));
+    run_for(*all, milliseconds(1000));
+    // WHEN both edit at the same moment through two instances
+    post(*all, 1, edit_plans(2, "two", 1));
+    post(*all, 2, edit_plans(3, "three", 1));
+    run_for(*all, milliseconds(2000));
+    // THEN one is accepted, the other learns of the change
+    CHECK(decision(*all, 1, 2)->outcome == verdict::accepted);
+    const edit_decided* lost = decision(*all, 2, 3);
+    CHECK(lost->outcome == verdict::conflict);
+    LONGS_EQUAL(2, lost->version);
+    STRCMP_EQUAL("op-two", lost->changes.at(0).operation.c_str());
+    LONGS_EQUAL(1, lost->changes.size());
+    CHECK(everywhere(*all, 2));
+}
+
+TEST(configuration_group, an_edit_whose_answer_was_lost_is_known_after_another_one_followed) {
+    // GIVEN an edit that took effect, whose answer was lost
+    auto all = make_idle_fleet();
+    post(*all, 0, edit_plans(1, "one", 0));
+    run_for(*all, milliseconds(1000));
+    all->store.lose_answers = 1;
+    post(*all, 1, edit_plans(2, "two", 1));
+    run_for(*all, milliseconds(50));
+    // WHEN another operator's edit follows before it is read back
+    post(*all, 2, edit_plans(3, "three", 2));
+    run_for(*all, milliseconds(2000));
+    // THEN both are accepted, each with its own version
+    CHECK(decision(*all, 1, 2)->outcome == verdict::accepted);
+    LONGS_EQUAL(2, decision(*all, 1, 2)->version);
+    LONGS_EQUAL(3, decision(*all, 2, 3)->version);
+    CHECK(everywhere(*all, 3));
+}
+
+TEST(configuration_group, nothing_goes_back_to_an_older_version) {
+    // GIVEN a fleet at version 2
+    auto all = make_idle_fleet();
+    post(*all, 0, edit_plans(1, "one", 0));
+    run_for(*all, milliseconds(500));
+    const document old = all->instances[0].documents.held.at(document_names::plans);
+    const stored_object old_object = all->store.objects.at(document_names::plans);
+    post(*all, 0, edit_plans(2, "two", 1));
+    run_for(*all, milliseconds(500));
+    // WHEN a late old notice and a late old watch answer arrive
+    post(*all, 3, peer_message_received{instance_id{"i1"}, document_notice{old}});
+    post(*all, 3, watch_ended{"config/", store_status::ok, 1, {old_object}});
+    // THEN version 2 stays
+    CHECK(everywhere(*all, 2));
+}
+
+TEST(configuration_group, an_instance_started_with_the_store_down_takes_it_from_peers) {
+    // GIVEN a fleet at version 2 whose store is down
+    auto all = make_idle_fleet();
+    post(*all, 0, edit_plans(1, "one", 0));
+    run_for(*all, milliseconds(500));
+    post(*all, 0, edit_plans(2, "two", 1));
+    run_for(*all, milliseconds(500));
+    all->store.up = false;
+    // WHEN an instance starts anew
+    all->instances[4].documents = make_documents(all->instances[4].env, all->now);
+    CHECK_FALSE(has_lists(all->instances[4].documents));
+    run_for(*all, milliseconds(1500));
+    // THEN it has what is in force
+    CHECK(everywhere(*all, 2));
+    STRCMP_EQUAL("two", all->instances[4].documents.plans.workspaces.at(0).name.value.c_str());
+}
+
+TEST(configuration_group, an_idle_fleet_spends_few_store_calls) {
+    // GIVEN five instances that hold both lists
+    auto all = make_idle_fleet();
+    post(*all, 0, edit_plans(1, "one", 0));
+    list_edit_wanted allowances = edit_plans(2, "two", 0);
+    allowances.document = document_names::allowances;
+    post(*all, 0, allowances);
+    run_for(*all, milliseconds(3000));
+    // WHEN nothing happens for a minute
+    const int before = all->store.calls;
+    run_for(*all, milliseconds(60000));
+    // THEN two of them ask anew as often as a watch's time is over
+    CHECK(all->store.calls - before <= 2 * 60);
+}
+
+TEST(configuration_group, a_silent_watch_that_ends_late_adds_no_second_one) {
+    // GIVEN one instance whose first watch is silent
+    environment env;
+    const roster_state roster = make_roster(env, instant{});
+    instant now{milliseconds(1'000'000)};
+    documents_state state = make_documents(env, now);
+    effects out;
+    const auto step = [&](const event& happened) {
+        reduce_documents(state, env, roster, happened, now, out);
+    };
+    for (int i = 0; i < 45; ++i) {
+        step(tick{});
+        now += env.timing.tick;
+    }
+    LONGS_EQUAL(2, std::count_if(out.begin(), out.end(), [](const effect& each) {
+                    return std::holds_alternative<watch_prefix>(each);
+                }));
+    out.clear();
+    // WHEN it ends after a second one was asked THEN no third is asked
+    step(watch_ended{"config/", store_status::ok, 5, {}});
+    step(tick{});
+    CHECK(std::none_of(out.begin(), out.end(), [](const effect& each) {
+        return std::holds_alternative<watch_prefix>(each);
+    }));
+    // AND once the second one ends, the next is
+    step(watch_ended{"config/", store_status::ok, 5, {}});
+    CHECK(std::any_of(out.begin(), out.end(), [](const effect& each) {
+        return std::holds_alternative<watch_prefix>(each);
+    }));
+}
--- a/src/coordination/dispatch/tests/fake_fleet.cpp
+++ b/src/coordination/dispatch/tests/fake_fleet.cpp
@@ -114,8 +114,12 @@
     later(all, one_way, [&all, from, to, asked_at, answer] {
         on_instance(all, from, [&all, from, to, asked_at, answer] {
             const member& peer = all.instances[to].env.self;
-            all.instances[from].roster.heard[peer.id] =
-                heard_peer{peer, asked_at, answer.versions, false};
+            heard_peer& heard = all.instances[from].roster.heard[peer.id];
+            heard.who = peer;
+            heard.answered = true;
+            heard.asked_at = asked_at;
+            heard.pinged_at = all.now;
+            heard.versions = answer.versions;
             reduce_now(all, from, peer_message_received{peer.id, answer});
         });
     });
@@ -181,15 +185,15 @@
     if (all.store.silent_watches) {
         return;
     }
-    fake_watch watch{index, wanted.after, false};
+    fake_watch watch{all.store.calls, index, wanted.after, false};
     if (all.store.revision > wanted.after) {
         end_watch(all, watch);
         return;
     }
     all.store.watches.push_back(watch);
-    later(all, wanted.timeout, [&all, index, after = wanted.after] {
+    later(all, wanted.timeout, [&all, number = watch.number] {
         for (fake_watch& each : all.store.watches) {
-            if (each.instance == index && each.after == after && !each.done) {
+            if (each.number == number && !each.done) {
                 end_watch(all, each);
             }
         }
--- a/src/coordination/dispatch/tests/fake_fleet.h
+++ b/src/coordination/dispatch/tests/fake_fleet.h
@@ -52,6 +52,7 @@
 };
 
 struct fake_watch {
+    int number{0};
     std::size_t instance{0};
     object_version after{0};
     bool done{false};
--- a/src/coordination/documents/documents.cpp
+++ b/src/coordination/documents/documents.cpp
@@ -159,7 +159,8 @@
     const bool is_behind =
         std::any_of(roster.heard.begin(), roster.heard.end(), [&](const auto& entry) {
             const heard_peer& peer = entry.second;
-            return now - peer.asked_at <= vouch && peer.versions.availability > held;
+            return peer.answered && now - peer.asked_at <= vouch &&
+                   peer.versions.availability > held;
         });
     if (is_behind) {
         return false;
--- a/src/coordination/documents/documents.h
+++ b/src/coordination/documents/documents.h
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <set>
+#include <vector>
 
 namespace cyclamenmount {
 
@@ -59,9 +60,7 @@
     std::map<std::string, object_version> recorded;    //!< operations seen in availability, bounded
     std::map<std::uint64_t, pending_edit> edits;       //!< by number of the store call
     std::optional<instant> store_heard_at;  //!< the store's last news of a watch are from then on
-    bool watch_in_flight{false};
-    instant watch_asked_at;
-    std::optional<instant> oldest_watch_at;  //!< of those that haven't ended
+    std::vector<instant> watches;  //!< when those that haven't ended were asked, oldest first
     instant next_watch;
     instant next_recording;
     object_version revision{0};
--- a/src/coordination/documents/spread.cpp
+++ b/src/coordination/documents/spread.cpp
@@ -16,6 +16,9 @@
 //! A watch that hasn't ended this long after its timeout is taken as silent.
 constexpr milliseconds watch_margin{500};
 
+//! One that hasn't ended by this many timeouts won't.
+constexpr int lost_after_timeouts = 3;
+
 //! Pause after a watch that failed.
 constexpr milliseconds watch_pause{250};
 
@@ -152,7 +155,10 @@
 //! after it was asked.
 void date_store_news(documents_context& context, const watch_ended& ended) {
     documents_state& state = context.state;
-    const instant asked = state.oldest_watch_at.value_or(state.watch_asked_at);
+    if (state.watches.empty()) {
+        return;
+    }
+    const instant asked = state.watches.front();
     const instant full = asked + context.env.timing.watch_timeout;
     const bool waited = ended.objects.empty() && context.now >= full;
     const instant heard = waited ? full : asked;
@@ -186,16 +192,18 @@
     documents_state& state = context.state;
     forget_gone_peers(context);
     const milliseconds timeout = context.env.timing.watch_timeout;
-    if (state.watch_in_flight && context.now - state.watch_asked_at > timeout + watch_margin) {
-        state.watch_in_flight = false;
-        log_documents(context, severity::warning, "The watch is silent; asking anew.");
-    }
-    if (state.watch_in_flight || context.now < state.next_watch || !is_watcher(context)) {
+    std::erase_if(state.watches, [&](instant asked) {
+        return context.now - asked > lost_after_timeouts * timeout;
+    });
+    const bool waits =
+        !state.watches.empty() && context.now - state.watches.back() <= timeout + watch_margin;
+    if (waits || context.now < state.next_watch || !is_watcher(context)) {
         return;
     }
-    state.watch_in_flight = true;
-    state.watch_asked_at = context.now;
-    state.oldest_watch_at = std::min(state.oldest_watch_at.value_or(context.now), context.now);
+    if (!state.watches.empty()) {
+        log_documents(context, severity::warning, "The watch is silent; asking anew.");
+    }
+    state.watches.push_back(context.now);
     context.out.emplace_back(watch_prefix{watched_prefix, state.revision, timeout});
 }
 
@@ -207,8 +215,9 @@
     if (ended.status == store_status::ok) {
         date_store_news(context, ended);
     }
-    state.watch_in_flight = false;
-    state.oldest_watch_at.reset();
+    if (!state.watches.empty()) {
+        state.watches.erase(state.watches.begin());
+    }
     state.next_watch = ended.status == store_status::ok ? context.now : context.now + watch_pause;
     object_version newest = ended.revision;
     for (const stored_object& object : ended.objects) {
