--- a/src/coordination/dispatch/tests/fake_fleet.cpp
+++ b/src/coordination/dispatch/tests/fake_fleet.cpp
@@ -276,6 +276,10 @@
     });
 }
 
+void start_attempt(fleet& all, std::size_t index, const attempt_id& id);
+
+void start_by_chooser(fleet& all, std::size_t index, const attempt_wanted& wanted);
+
 void want_attempt(fleet& all, std::size_t index) {
     fake_instance& instance = all.instances[index];
     if (!all.traffic) {
@@ -288,7 +292,11 @@
     wanted.pool = pool_name{fleet_pool};
     wanted.time_left = all.settings.attempt_time + milliseconds(5000);
     wanted.restartable = all.settings.restartable;
-    instance.attempts[wanted.attempt] = {wanted, {}, false};
+    if (all.chooser) {
+        start_by_chooser(all, index, wanted);
+        return;
+    }
+    instance.attempts[wanted.attempt] = {wanted, {}, false, all.now + wanted.time_left};
     reduce_now(all, index, wanted);
 }
 
@@ -297,6 +305,22 @@
           [&all, index] { on_instance(all, index, [&all, index] { want_attempt(all, index); }); });
 }
 
+void start_by_chooser(fleet& all, std::size_t index, const attempt_wanted& wanted) {
+    const auto chosen = all.chooser(index);
+    if (!chosen) {
+        want_again(all, index, retry_pause);
+        return;
+    }
+    attempt_grant grant;
+    grant.upstream = *chosen;
+    grant.start_before = all.now + milliseconds(500);
+    all.instances[index].attempts[wanted.attempt] = {wanted, grant, false,
+                                                     all.now + wanted.time_left};
+    later(all, one_way, [&all, index, id = wanted.attempt] {
+        on_instance(all, index, [&all, index, id] { start_attempt(all, index, id); });
+    });
+}
+
 void end_attempt(fleet& all, std::size_t index, const attempt_id& id, attempt_outcome outcome) {
     fake_instance& instance = all.instances[index];
     const auto found = instance.attempts.find(id);
@@ -345,12 +369,14 @@
     found->second.started = true;
     upstream.running.insert(id);
     count_start(all, upstream);
-    const milliseconds takes = all.settings.attempt_time + milliseconds(next_bits(all) % 50);
-    later(all, takes, [&all, index, id, at = upstream.id] {
+    const milliseconds wanted = all.settings.attempt_time + milliseconds(next_bits(all) % 50);
+    const milliseconds takes = std::min(wanted, found->second.deadline - all.now);
+    const auto outcome = takes < wanted ? attempt_outcome::timed_out : attempt_outcome::ok;
+    later(all, takes, [&all, index, id, outcome, at = upstream.id] {
         fake_upstream& target = all.upstreams.at(at);
         const bool alive = all.instances[index].alive;
         count_use(all, target);
-        alive ? end_attempt(all, index, id, attempt_outcome::ok) : (void)target.running.erase(id);
+        alive ? end_attempt(all, index, id, outcome) : (void)target.running.erase(id);
     });
 }
 
--- a/src/coordination/dispatch/tests/fake_fleet.h
+++ b/src/coordination/dispatch/tests/fake_fleet.h
@@ -32,6 +32,7 @@
     attempt_wanted wanted;
     attempt_grant grant;
     bool started{false};
+    instant deadline;  //!< its runner ends it then
 };
 
 struct fake_instance {
@@ -92,6 +93,8 @@
     std::set<std::size_t> store_cut;
     std::uint64_t random{1};
     bool traffic{true};
+    //! Baselines put their own choice here, in place of the reducers'; none means try again later.
+    std::function<std::optional<upstream_id>(std::size_t instance)> chooser;
 };
 
 inline constexpr const char* fleet_pool = "runners";
--- a/src/coordination/slots/home.cpp
+++ b/src/coordination/slots/home.cpp
@@ -66,9 +66,14 @@
     });
 }
 
+//! A slot that lapses without a release counts on until the next poll shows that it is free.
 void drop_expired(slots_context& context, slot_book& book) {
-    std::erase_if(book.slots,
-                  [&](const auto& entry) { return context.now >= entry.second.ends_at; });
+    const auto lapsed = std::erase_if(
+        book.slots, [&](const auto& entry) { return context.now >= entry.second.ends_at; });
+    if (lapsed > 0) {
+        book.unaccounted += static_cast<int>(lapsed);
+        book.next_poll = context.now;
+    }
     while (!book.released.empty() && context.now - book.released.front() > report_lag) {
         book.released.pop_front();
     }
--- a/src/coordination/slots/tests/slots_tests.cpp
+++ b/src/coordination/slots/tests/slots_tests.cpp
@@ -250,6 +250,25 @@
     STRCMP_EQUAL("c ", replies(home, true).c_str());
 }
 
+TEST(slots_home, an_attempt_that_outlives_its_slot_still_counts) {
+    // GIVEN a slot whose deadline passes without a release
+    home_fixture home = make_ready_home();
+    request(home, 1, "a");
+    request(home, 1, "b");
+    home.now += milliseconds(5301);
+    hear_all(home);
+    home.out.clear();
+    // THEN nothing is given until the upstream's own count is known
+    request(home, 2, "c");
+    STRCMP_EQUAL("", replies(home, true).c_str());
+    // AND what still runs there counts after that
+    pass(home, milliseconds(600), upstream_condition::cold, 1);
+    home.out.clear();
+    request(home, 2, "d");
+    request(home, 2, "e");
+    STRCMP_EQUAL("d ", replies(home, true).c_str());
+}
+
 TEST(slots_home, a_slot_just_given_outlives_an_older_answer) {
     // GIVEN a question for holdings under way as a slot is given
     home_fixture home = make_ready_home();
