--- a/src/callers/pipeline_handler.cpp
+++ b/src/callers/pipeline_handler.cpp
@@ -1,8 +1,10 @@
 #include "callers/internal/serving.h"
 
+#include <system_error>
 #include <thread>
 
 #include <boost/outcome/try.hpp>
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 namespace cyclamenmount::detail {
@@ -26,6 +28,8 @@
     pipeline_input input;
     std::shared_ptr<admitted> request;
     std::size_t next_frame{0};
+    bool runs_here{false};  //!< the run hands the request to the metrics
+    std::optional<refusal> refused{};
     bool caller_gone{false};
 };
 
@@ -33,13 +37,27 @@
     return {one.request->owner, one.request->request.key};
 }
 
+//! Ends the answer even if the run fails in a way that it doesn't know itself.
+run_result run_guarded(serving& shared, const pipeline_settings& pipeline,
+                       const admitted_request& request, const pipeline_input& input, answer& sink) {
+    try {
+        return run_pipeline(environment_of(shared), pipeline, request, input, sink);
+    } catch (const std::exception& failed) {
+        LOG(ERROR) << "callers: run failed: " << failed.what();
+    }
+    run_result ended;
+    ended.refused = refuse(refusal_reason::internal, execution::may_have_run, {}, {});
+    sink.fail(*ended.refused);
+    return ended;
+}
+
 //! Runs the stages on a thread of their own, so that a slow caller holds up no upstream.
 void start_run(exchange& one, const std::shared_ptr<answer>& sink) {
+    one.runs_here = true;
     auto counted = std::make_shared<running_guard>(one.shared.running);
     auto run = [&shared = one.shared, &pipeline = one.pipeline, input = one.input,
                 request = one.request, sink, counted = std::move(counted)]() mutable {
-        const run_environment env = environment_of(shared);
-        run_result ended = run_pipeline(env, pipeline, request->request, input, *sink);
+        run_result ended = run_guarded(shared, pipeline, request->request, input, *sink);
         request->guard->set_tokens(ended.tokens);
         if (!request->request.key.empty()) {
             const admitted_request& done = request->request;
@@ -51,7 +69,12 @@
         request.reset();
         counted.reset();
     };
-    std::thread(std::move(run)).detach();
+    try {
+        std::thread(std::move(run)).detach();
+    } catch (const std::system_error& failed) {
+        LOG(ERROR) << "callers: no thread for a run: " << failed.what();
+        sink->fail(refuse(refusal_reason::overloaded, execution::not_run, "no thread", {}));
+    }
 }
 
 void send_part(exchange& one, const answer_part& part) {
@@ -59,6 +82,7 @@
     if (nothing_new || one.caller_gone) {
         return;
     }
+    one.refused = part.refused;
     one.caller_gone = !one.http.send_frames(part, one.next_frame);
     one.next_frame += part.frames.size();
 }
@@ -267,6 +291,9 @@
     } else {
         serve_keyed(one);
     }
+    if (!one.runs_here) {
+        record_end(shared, *one.request, one.refused, {}, 0ms);
+    }
 }
 
 }  // namespace cyclamenmount::detail
--- a/src/pipeline/answer.cpp
+++ b/src/pipeline/answer.cpp
@@ -42,6 +42,9 @@
 
 void answer::add_token(std::string_view text) {
     const std::lock_guard lock(mutex_);
+    if (ended_at_ != instant{}) {
+        return;
+    }
     if (first_at_ == instant{}) {
         first_at_ = boot_clock::now();
     }
@@ -56,6 +59,9 @@
         told.push_back(cost_json(cost));
     }
     const std::lock_guard lock(mutex_);
+    if (ended_at_ != instant{}) {
+        return;
+    }
     const std::size_t count = frames_.size();
     ended_at_ = boot_clock::now();
     add_frame(json{{"frame", count},
@@ -68,6 +74,9 @@
 
 void answer::fail(const refusal& refused) {
     const std::lock_guard lock(mutex_);
+    if (ended_at_ != instant{}) {
+        return;
+    }
     refused_ = refused;
     ended_at_ = boot_clock::now();
     add_frame(json{{"frame", frames_.size()}, {"error", problem_json(refused)}}.dump());
--- a/src/pipeline/answer.h
+++ b/src/pipeline/answer.h
@@ -35,6 +35,7 @@
         return body_;
     }
 
+    //! These three do nothing once the answer has ended.
     void add_token(std::string_view text);
     void finish(std::span<const stage_cost> costs);
     void fail(const refusal& refused);
--- a/src/upstreams/answer_reader.cpp
+++ b/src/upstreams/answer_reader.cpp
@@ -1,6 +1,6 @@
 #include "upstreams/internal/answer_reader.h"
 
-#include "upstreams/internal/load_header.h"
+#include "upstream_control/upstream_control.h"
 
 #include <algorithm>
 #include <cctype>
@@ -206,7 +206,7 @@
     } else if (equal_ignoring_case(name, "x-attempt")) {
         reader.echo.attempt = value;
     } else if (equal_ignoring_case(name, "x-load")) {
-        reader.load = parse_load_header(value);
+        reader.load = parse_load(value);
     }
 }
 
--- a/src/upstreams/canceller.cpp
+++ b/src/upstreams/canceller.cpp
@@ -10,6 +10,7 @@
 
 constexpr auto retry_pause = 100ms;
 constexpr int poll_limit_ms = 50;
+constexpr int idle_limit_ms = 1000;
 constexpr long connections_kept = 16;
 
 std::size_t ignore_body(char* /*data*/, std::size_t size, std::size_t count, void* /*unused*/) {
@@ -52,8 +53,7 @@
         int running = 0;
         curl_multi_perform(multi_.get(), &running);
         collect();
-        const bool idle = sending_.empty() && retries_.empty();
-        constexpr int idle_limit_ms = 1000;
+        const bool idle = !stopping && sending_.empty() && retries_.empty();
         curl_multi_poll(multi_.get(), nullptr, 0, idle ? idle_limit_ms : poll_limit_ms, nullptr);
     }
 }
--- a/src/upstreams/tests/scripted_upstream.h
+++ b/src/upstreams/tests/scripted_upstream.h
@@ -23,6 +23,8 @@
     std::string path;
     std::map<std::string, std::string> headers;  //!< names in lower case
     std::string body;
+    int number_on_connection{0};  //!< from 0
+    bool keep{false};             //!< the connection stays open after the answer
 };
 
 //! The connection of one request.
@@ -54,7 +56,8 @@
 
 class scripted_upstream {
 public:
-    explicit scripted_upstream(upstream_script script) : script_(std::move(script)) {
+    explicit scripted_upstream(upstream_script script, bool keep = false)
+        : script_(std::move(script)), keep_(keep) {
         listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in name{};
         name.sin_family = AF_INET;
@@ -114,8 +117,13 @@
 
     void serve(int descriptor) {
         upstream_request request;
-        if (read_request(descriptor, request)) {
+        for (int number = 0; read_request(descriptor, request); ++number) {
+            request.number_on_connection = number;
+            request.keep = keep_;
             answer(descriptor, request);
+            if (!keep_ || number > 0) {
+                break;
+            }
         }
         const std::lock_guard lock(mutex_);
         open_.remove(descriptor);
@@ -177,6 +185,7 @@
     }
 
     upstream_script script_;
+    bool keep_;
     int listener_{-1};
     std::string address_;
     std::thread acceptor_;
@@ -193,11 +202,10 @@
     const auto echoed = [&request](const char* name) {
         return std::string(name) + ": " + request.headers.at(name) + "\r\n";
     };
+    const std::string connection = request.keep ? "" : "Connection: close\r\n";
     return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + echoed("x-request-id") +
-           echoed("x-stage") + echoed("x-attempt") +
-           "X-Load: in_flight=1;capacity=8;state=warm;incarnation=i1\r\n"
-           "Connection: close\r\n" +
-           extra + "\r\n";
+           echoed("x-stage") + echoed("x-attempt") + connection +
+           "X-Load: in_flight=1;capacity=8;state=warm;incarnation=i1\r\n" + extra + "\r\n";
 }
 
 inline nlohmann::json echo_body(const upstream_request& request) {
--- a/src/upstreams/tests/upstream_client_tests.cpp
+++ b/src/upstreams/tests/upstream_client_tests.cpp
@@ -350,3 +350,26 @@
     UNSIGNED_LONGS_EQUAL(1, upstream.requests().size());
     LONGS_EQUAL(0, upstream.cancels());
 }
+
+TEST(upstream_client, libcurl_does_not_send_an_attempt_again_by_itself) {
+    // GIVEN an upstream that keeps its connections and dies with the second request on one
+    scripted_upstream upstream(
+        [](const request& r, const reply& s) {
+            if (r.number_on_connection == 0) {
+                send_output(r, s, "out");
+            }
+        },
+        true);
+    const ended_attempt first =
+        run_call(*client, posted, call_to(upstream.address(), pool_kind::stage));
+    CHECK(first.result.outcome == attempt_outcome::ok);
+
+    // WHEN a second attempt goes out on the kept connection
+    const ended_attempt second =
+        run_call(*client, posted, call_to(upstream.address(), pool_kind::stage));
+
+    // THEN it was sent once, and its end is left to the pipeline
+    CHECK(second.result.outcome == attempt_outcome::died);
+    UNSIGNED_LONGS_EQUAL(2, upstream.requests().size());
+    LONGS_EQUAL(1, upstream.requests()[1].number_on_connection);
+}
