--- a/src/upstreams/tests/scripted_upstream.h
+++ b/src/upstreams/tests/scripted_upstream.h
@@ -87,6 +87,8 @@
 
     scripted_upstream(const scripted_upstream&) = delete;
     scripted_upstream& operator=(const scripted_upstream&) = delete;
+    scripted_upstream(scripted_upstream&&) = delete;
+    scripted_upstream& operator=(scripted_upstream&&) = delete;
 
     [[nodiscard]] const std::string& address() const {
         return address_;
