--- a/standins/upstream/attempt_handlers.cpp
+++ b/standins/upstream/attempt_handlers.cpp
@@ -110,7 +110,8 @@
 
 //! Starts the work, or answers why not.
 std::optional<attempt> admit(shared_state& shared, exchange& current, std::string input) {
-    const arriving_work work = read_work(current);
+    arriving_work work = read_work(current);
+    work.mark = mark_of(input);
     delay_across_zones(shared, work);
     std::unique_lock lock(shared.mutex);
     upstream_machine& machine = shared.machine;
@@ -182,6 +183,7 @@
 void crash_now(shared_state& shared, const attempt& current) {
     const std::lock_guard lock(shared.mutex);
     if (shared.machine.epoch == current.epoch) {
+        ++shared.machine.truth.crashes_by_text;
         fall_over(shared.machine, boot_clock::now());
         shared.changed.notify_all();
     }
--- a/standins/upstream/machine.cpp
+++ b/standins/upstream/machine.cpp
@@ -92,6 +92,7 @@
     count_in(truth.runs_by_key, work.idempotency_key);
     count_in(truth.runs_by_request, work.key.request);
     count_in(truth.runs_by_zone, work.from_zone);
+    count_in(truth.runs_by_mark, work.mark);
     const std::string attempt = work.key.request + " " + work.key.attempt;
     if (truth.attempts.size() < max_remembered && !truth.attempts.insert(attempt).second) {
         ++truth.repeated_attempts;
--- a/standins/upstream/machine.h
+++ b/standins/upstream/machine.h
@@ -27,6 +27,7 @@
     std::string idempotency_key;
     std::string from_zone;
     int socket{-1};
+    std::string mark;  //!< the word `mark=...` of the input, by which callers find their work
 };
 
 struct running_work {
--- a/standins/upstream/tests/machine_tests.cpp
+++ b/standins/upstream/tests/machine_tests.cpp
@@ -20,7 +20,7 @@
 }
 
 arriving_work work(const std::string& request, const std::string& key = "") {
-    return {{request, "a1"}, key, "z", -1};
+    return {{request, "a1"}, key, "z", -1, ""};
 }
 
 //! Starts work if the judge lets it, as the handlers do.
--- a/standins/upstream/truth.cpp
+++ b/standins/upstream/truth.cpp
@@ -6,6 +6,7 @@
     return {{"runs", truth.runs},
             {"refused", truth.refused},
             {"crashes", truth.crashes},
+            {"crashes_by_text", truth.crashes_by_text},
             {"cancelled", truth.cancelled},
             {"abandoned", truth.abandoned},
             {"tokens", truth.tokens},
@@ -21,7 +22,8 @@
             {"orders_older_fence", truth.orders_older_fence},
             {"runs_by_key", truth.runs_by_key},
             {"runs_by_request", truth.runs_by_request},
-            {"runs_by_zone", truth.runs_by_zone}};
+            {"runs_by_zone", truth.runs_by_zone},
+            {"runs_by_mark", truth.runs_by_mark}};
 }
 
 }  // namespace cyclamenmount::standins
--- a/standins/upstream/truth.h
+++ b/standins/upstream/truth.h
@@ -14,6 +14,7 @@
     std::uint64_t runs{0};
     std::uint64_t refused{0};  //!< answered `not_run`
     std::uint64_t crashes{0};
+    std::uint64_t crashes_by_text{0};  //!< of these, through `crash_on`
     std::uint64_t cancelled{0};
     std::uint64_t abandoned{0};  //!< the client closed before the end
     std::uint64_t tokens{0};
@@ -30,6 +31,7 @@
     std::map<std::string, std::uint64_t> runs_by_key;
     std::map<std::string, std::uint64_t> runs_by_request;
     std::map<std::string, std::uint64_t> runs_by_zone;
+    std::map<std::string, std::uint64_t> runs_by_mark;  //!< by the word `mark=...` in the input
     std::set<std::string> attempts;
 };
 
--- a/standins/upstream/work_text.cpp
+++ b/standins/upstream/work_text.cpp
@@ -49,6 +49,15 @@
     return output;
 }
 
+std::string mark_of(std::string_view input) {
+    const std::size_t begin = input.find("mark=");
+    if (begin == std::string_view::npos) {
+        return {};
+    }
+    const std::string_view rest = input.substr(begin);
+    return std::string(rest.substr(0, rest.find_first_of(" \"")));
+}
+
 std::uint64_t prefix_of(std::string_view input) {
     return fnv1a(input.substr(0, prefix_bytes));
 }
