Fault table: balancer, edits of a list, versions in force

Requests go where /readyz said yes at the last look. A list is edited every 2 s; a version that goes back, or isn't in force 3 s after it was accepted, is a violation.

--- a/tools/lib/faults.py
+++ b/tools/lib/faults.py
@@ -12,6 +12,7 @@
 import fault_table
 import fleet as fleets
 import traffic as traffics
+import watcher as watchers
 
 DEPLOYMENT = "gwledd-encil"
 SIZES = {"encoders": 3, "retrievers": 3, "rerankers": 3, "menu-engines": 6, "supplier-ordering": 3}
@@ -30,6 +31,7 @@
         self.counts = {}
         self.violations = []
         self.disturbed = []
+        self.begun = None
         self.recovered = None
 
 
@@ -44,6 +46,7 @@
 
 def run_pair(fleet, pair, faults, choice):
     context = fault_table.Context(fleet, choice)
+    pair.begun = time.monotonic()
     before = read_counts(fleet)
     active = [one(context) for one in faults]
     for one in active:
@@ -118,6 +121,17 @@
                 "%s %s cut off at instance %d (%s)" % (one.kind, one.name, one.instance, one.reason))
 
 
+def check_configuration(watcher, pairs):
+    """What was accepted is in force in time at instances that run, and never goes back."""
+    for sight, text in watcher.reverted() + watcher.late():
+        during = [one for one in pairs if one.begun <= sight.asked_at]
+        disturbed = any(index == sight.index and begin <= sight.asked_at <= end + watchers.IN_FORCE_S
+                        for one in pairs for index, begin, end in one.disturbed)
+        went_back = "went back" in text
+        if during and (went_back or not disturbed):
+            during[-1].violations.append(text)
+
+
 def print_table(pairs, records):
     print("%3s  %-42s %6s %6s %8s %7s %7s %6s %6s  %s" % (
         "", "faults", "asked", "whole", "not run", "other", "no ans.", "grace", "back s",
@@ -162,20 +176,25 @@
         fleet.start()
         fleet.fault(list_lag_ms=300)
         judge = expected.Judge(fleet)
-        traffic = traffics.Traffic(fleet, judge, options.seed)
+        watcher = watchers.Watcher(fleet)
+        watcher.start()
+        traffic = traffics.Traffic(watcher, judge, options.seed)
         time.sleep(2.0)
         traffic.start()
         for pair, faults in zip(pairs, planned):
             traffic.pair = pair.number
             run_pair(fleet, pair, faults, choice)
         stuck = traffic.stop()
+        watcher.stop()
         judge.end()
         check_calls(traffic.records, merged(fleet, "runs_by_key"), pairs)
         check_plans(traffic.records, merged(fleet, "runs_by_mark"), pairs)
         check_cut_off(traffic.records, pairs)
+        check_configuration(watcher, pairs)
         if stuck:
             pairs[-1].violations.append("%d callers never ended" % len(stuck))
-        print("logs in %s" % fleet.folder)
+        print("logs in %s; %d edits accepted, %d conflicts, %d looks at versions" % (
+            fleet.folder, len(watcher.accepted), watcher.conflicts, len(watcher.sights)))
     return pairs, traffic.records
 
 
--- a/tools/lib/traffic.py
+++ b/tools/lib/traffic.py
@@ -41,8 +41,8 @@
 class Traffic:
     """Worker threads until `stop`; records are read after it."""
 
-    def __init__(self, fleet, judge, seed, pipelines_per_second=16.0, calls_per_second=3.0):
-        self.fleet = fleet
+    def __init__(self, watcher, judge, seed, pipelines_per_second=16.0, calls_per_second=3.0):
+        self.watcher = watcher
         self.judge = judge
         self.seed = seed
         self.pair = 0
@@ -71,14 +71,11 @@
         with self.lock:
             self.records.append(record)
 
-    def live(self):
-        return [one for one in self.fleet.instances if one.alive()]
-
     def run_plans(self, number, period):
         choice = random.Random("%d plan %d" % (self.seed, number))
         count = 0
         while not self.ending.wait(choice.uniform(0.5, 1.5) * period):
-            live = self.live()
+            live = self.watcher.targets()
             if live:
                 mark = "mark=p%d-%d" % (number, count)
                 text = "%s %s suppers" % (mark, choice.choice(MOODS))
@@ -115,8 +112,9 @@
             key = "c%d-%d-%d" % (self.seed, number, count)
             count += 1
             at_once = choice.random() < 0.5
+            live = self.watcher.targets()
             repeats = [threading.Thread(target=self.one_call, args=(instance, key), daemon=True)
-                       for instance in choice.sample(self.live(), min(3, len(self.live())))]
+                       for instance in choice.sample(live, min(3, len(live)))]
             for repeat in repeats:
                 repeat.start()
                 if not at_once:
