--- a/src/coordination/admission/admission.cpp
+++ b/src/coordination/admission/admission.cpp
@@ -18,9 +18,6 @@
     instant now;
 };
 
-//! Half of a stage's runs take no longer than this.
-constexpr double likely_quantile = 0.5;
-
 refusal not_run(refusal_reason reason, std::string detail) {
     return refusal{reason, execution::not_run, std::move(detail), {}, 0ms};
 }
@@ -69,21 +66,15 @@
     return check_service(context, limits, wanted.service);
 }
 
-milliseconds likely_pool_time(const dispatch_state& dispatch, const pool_name& pool) {
-    const auto found = dispatch.times.find(pool);
-    if (found == dispatch.times.end()) {
-        return 0ms;
-    }
-    return took_quantile(found->second, likely_quantile);
-}
-
-milliseconds likely_request_time(const admission_context& context, const admission_wanted& wanted) {
+//! Time within which half of such requests end, by the measured stage times.
+milliseconds expected_request_time(const admission_context& context,
+                                   const admission_wanted& wanted) {
     if (wanted.pipeline.empty()) {
-        return likely_pool_time(context.dispatch, wanted.service);
+        return expected_time(context.dispatch, wanted.service);
     }
     milliseconds sum = 0ms;
     for (const stage_settings& stage : context.env.pools.pipelines.at(wanted.pipeline).stages) {
-        sum += likely_pool_time(context.dispatch, stage.pool);
+        sum += expected_time(context.dispatch, stage.pool);
     }
     return sum;
 }
@@ -122,7 +113,7 @@
                        0ms};
     }
     const milliseconds left = time_left(context, wanted);
-    if (likely_request_time(context, wanted) > left) {
+    if (expected_request_time(context, wanted) > left) {
         return not_run(refusal_reason::deadline_too_short,
                        "Measured stage times exceed the deadline.");
     }
@@ -134,8 +125,10 @@
     return admission{workspace->name, workspace->plan, limits->priority, left};
 }
 
-void end_drain(admission_state& state, const roster_state& roster, effects& out) {
-    if (!state.stopping || state.drained || !state.running.empty() || is_member(roster)) {
+//! Tells once that nothing runs here and the roster has let this instance go.
+void end_drain(admission_state& state, const environment& env, const roster_state& roster,
+               instant now, effects& out) {
+    if (!state.stopping || state.drained || !state.running.empty() || !has_left(roster, env, now)) {
         return;
     }
     state.drained = true;
@@ -167,7 +160,7 @@
     if (std::holds_alternative<stop_wanted>(happened)) {
         state.stopping = true;
     }
-    end_drain(state, roster, out);
+    end_drain(state, env, roster, now, out);
 }
 
 bool is_ready(const admission_state& state, const roster_state& roster,
--- a/src/coordination/quarantine/quarantine.h
+++ b/src/coordination/quarantine/quarantine.h
@@ -45,6 +45,7 @@
 //! Owned by the quarantine reducer; others use the functions below.
 struct quarantine_state {
     std::map<fingerprint, suspect> suspects;
+    std::uint64_t digest{0};  //!< of the suspects
     std::map<fingerprint, trial_book> books;
     std::map<instant, fingerprint> books_by_use;
     std::map<attempt_id, tried_attempt> running_here;
--- a/src/coordination/quarantine/suspects.cpp
+++ b/src/coordination/quarantine/suspects.cpp
@@ -35,6 +35,29 @@
     return true;
 }
 
+std::uint64_t digest_of(const suspect& value) {
+    std::string text = value.body.value;
+    for (const std::string& death : value.died) {
+        text += '\0' + death;
+    }
+    return XXH3_64bits(text.data(), text.size());
+}
+
+//! Changes one suspect and the digest with it; adds it if it isn't held.
+template <typename Change>
+bool change_suspect(quarantine_state& state, const fingerprint& body, Change change) {
+    const auto [place, fresh] = state.suspects.try_emplace(body);
+    suspect& value = place->second;
+    if (fresh) {
+        value.body = body;
+    } else {
+        state.digest ^= digest_of(value);
+    }
+    const bool changed = change(value);
+    state.digest ^= digest_of(value);
+    return changed;
+}
+
 //! Keeps the set within its bound: cleared ones go first.
 void drop_surplus(quarantine_state& state) {
     if (state.suspects.size() <= quarantine_limits::suspects) {
@@ -42,13 +65,9 @@
     }
     const auto cleared = std::find_if(state.suspects.begin(), state.suspects.end(),
                                       [](const auto& place) { return place.second.cleared; });
-    state.suspects.erase(cleared == state.suspects.end() ? state.suspects.begin() : cleared);
-}
-
-suspect& find_or_add(quarantine_state& state, const fingerprint& body) {
-    suspect& value = state.suspects[body];
-    value.body = body;
-    return value;
+    const auto dropped = cleared == state.suspects.end() ? state.suspects.begin() : cleared;
+    state.digest ^= digest_of(dropped->second);
+    state.suspects.erase(dropped);
 }
 
 }  // namespace
@@ -60,28 +79,33 @@
 }
 
 bool add_death(quarantine_state& state, const fingerprint& body, const std::string& upstream) {
-    const bool fresh = add(find_or_add(state, body), upstream);
+    const bool changed =
+        change_suspect(state, body, [&upstream](suspect& value) { return add(value, upstream); });
     drop_surplus(state);
-    return fresh;
+    return changed;
 }
 
 bool absolve(quarantine_state& state, const fingerprint& body) {
-    const auto found = state.suspects.find(body);
-    if (found == state.suspects.end()) {
+    if (!state.suspects.contains(body)) {
         return false;
     }
-    bool changed = false;
-    for (const std::string& death : std::vector<std::string>(found->second.died)) {
-        changed = add(found->second, marked(death)) || changed;
-    }
-    return changed;
+    return change_suspect(state, body, [](suspect& value) {
+        bool changed = false;
+        for (const std::string& death : std::vector<std::string>(value.died)) {
+            changed = add(value, marked(death)) || changed;
+        }
+        return changed;
+    });
 }
 
 bool merge_suspect(quarantine_state& state, const suspect& heard) {
-    bool changed = false;
-    for (const std::string& death : heard.died) {
-        changed = add(find_or_add(state, heard.body), death) || changed;
-    }
+    const bool changed = change_suspect(state, heard.body, [&heard](suspect& value) {
+        bool any = false;
+        for (const std::string& death : heard.died) {
+            any = add(value, death) || any;
+        }
+        return any;
+    });
     drop_surplus(state);
     return changed;
 }
@@ -91,15 +115,7 @@
 namespace cyclamenmount {
 
 std::uint64_t quarantine_digest(const quarantine_state& state) {
-    std::uint64_t digest = 0;
-    for (const auto& [body, value] : state.suspects) {
-        std::string text = body.value;
-        for (const std::string& death : value.died) {
-            text += '\0' + death;
-        }
-        digest ^= XXH3_64bits(text.data(), text.size());
-    }
-    return digest;
+    return state.digest;
 }
 
 }  // namespace cyclamenmount
--- a/src/coordination/shares/shares.cpp
+++ b/src/coordination/shares/shares.cpp
@@ -214,7 +214,7 @@
     const workspace_share share = detail::share_in_force(held, env, roster, workspace, limits, now);
     if (fresh) {
         held.filled_at = now;
-        held.request_tokens = 1.0;
+        held.request_tokens = request_burst(share);
         held.output_tokens = output_burst(share);
     }
     fill(held, share, now);
