--- a/src/coordination/shares/shares.cpp
+++ b/src/coordination/shares/shares.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds starved_report{200};  //!< earliest report after a refusal
 constexpr double smoothing_seconds = 1.0;
 constexpr double negligible_demand = 0.05;
-constexpr double request_burst_seconds = 1.0;
+constexpr double request_burst_seconds = 0.2;
 constexpr double output_burst_minutes = 1.0 / 6.0;
 
 refusal not_run(refusal_reason reason, std::string detail, milliseconds retry_after) {
@@ -214,7 +214,7 @@
     const workspace_share share = detail::share_in_force(held, env, roster, workspace, limits, now);
     if (fresh) {
         held.filled_at = now;
-        held.request_tokens = 1.0;
+        held.request_tokens = request_burst(share);
         held.output_tokens = output_burst(share);
     }
     fill(held, share, now);
