Out of service within 3 s also for an instance cut off from the store and its peers

Cause: with the store down and an instance cut off, that instance started work in a zone taken out until 3.5 s after the order: 1.0 s until the emergency order, 2.5 s in which its news counted as fresh, 0.5 s start window. Change: 0.6 s, 1.9 s and 0.5 s, which add up to the bound. Begun requests of an instance that is cut off wait 1.5 s to be heard again before they are refused.

--- a/src/coordination/dispatch/dispatch.cpp
+++ b/src/coordination/dispatch/dispatch.cpp
@@ -15,6 +15,9 @@
 //! Attempts that may wait here.
 constexpr std::size_t most_pending = 1000;
 
+//! An attempt of a begun request waits this long for the instance to be heard again.
+constexpr milliseconds cut_off_patience{1500};
+
 //! A home may keep a slot request for this part of the start window.
 constexpr milliseconds slot_wait_margin{150};
 
@@ -187,7 +190,7 @@
 //! attempts wait: their requests have begun, and the instance may be heard again within their
 //! deadline.
 bool may_start_work(const dispatch_context& context) {
-    return is_member(context.roster) && has_lists(context.documents) &&
+    return is_member(context.roster) &&
            is_vouched(context.documents, context.env, context.roster, context.now);
 }
 
@@ -200,6 +203,10 @@
         return;
     }
     if (!may_start_work(context)) {
+        if (context.now - pending.asked_at >= cut_off_patience) {
+            refuse_pending(context, attempt, refusal_reason::not_ready,
+                           "This instance hears neither the store nor its peers.");
+        }
         return;
     }
     if (!has_trial(context, pending) || waits_for_slot(context, pending)) {
@@ -236,22 +243,13 @@
     return ids;
 }
 
-void refuse_late(dispatch_context& context, const attempt_id& attempt) {
-    if (may_start_work(context)) {
-        refuse_pending(context, attempt, refusal_reason::overloaded,
-                       "No capacity within the deadline.");
-    } else {
-        refuse_pending(context, attempt, refusal_reason::not_ready,
-                       "This instance hears neither the store nor its peers.");
-    }
-}
-
 //! Tries all that wait, best priority first.
 void advance_all(dispatch_context& context) {
     for (const attempt_id& attempt : by_priority(context.state)) {
         const pending_attempt& pending = context.state.pending.at(attempt);
         if (is_too_late(context, pending)) {
-            refuse_late(context, attempt);
+            refuse_pending(context, attempt, refusal_reason::overloaded,
+                           "No capacity within the deadline.");
             continue;
         }
         advance(context, attempt);
@@ -265,6 +263,9 @@
     if (wanted.time_left <= milliseconds(0)) {
         return refusal_reason::deadline_exceeded;
     }
+    if (!has_lists(context.documents)) {
+        return refusal_reason::not_ready;
+    }
     if (!context.env.pools.pools.contains(wanted.pool)) {
         return refusal_reason::no_upstream;
     }
--- a/src/coordination/documents/edits.cpp
+++ b/src/coordination/documents/edits.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds edit_limit{4000};
 
 //! Taking out becomes an emergency order by then.
-constexpr milliseconds emergency_after{1000};
+constexpr milliseconds emergency_after{600};
 
 //! After a call that failed.
 constexpr milliseconds edit_pause{150};
--- a/src/coordination/roster/tests/explore.h
+++ b/src/coordination/roster/tests/explore.h
@@ -13,7 +13,7 @@
     roster_rules rules;
     int members{3};             //!< of the first generation; the rest of the three are listed
     bool last_leaves{false};    //!< the third instance is told to stop at the start
-    bool starts_cut{false};    //!< the first two don't reach each other at the start
+    bool starts_cut{false};     //!< the first two don't reach each other at the start
     bool any_order{false};      //!< packets arrive in any order and at any time, or never
     bool packet_faults{false};  //!< single packets are lost or held back
     bool link_faults{false};    //!< links are cut, notices of one instance are lost
--- a/src/types/configuration.h
+++ b/src/types/configuration.h
@@ -79,7 +79,7 @@
     milliseconds fence_margin{300};       //!< added by a new home for clock rates
     milliseconds suspect_after{3000};     //!< a silent member is proposed for removal
     milliseconds start_window{500};       //!< a granted slot must be used within this time
-    milliseconds vouch{2500};             //!< older news of what is out counts as none
+    milliseconds vouch{1900};             //!< older news of what is out counts as none
     milliseconds share_period{1000};      //!< between two divisions of a limit
     milliseconds share_lapse{3000};       //!< a share not renewed for this long lapses
     milliseconds longest_attempt{60000};  //!< no attempt lasts longer
