A silent home no longer holds up work; ended members bound sooner

An attempt that asked a loaded cold upstream's home first waited the whole start window if that home was dead, though a warm upstream had room; it now goes on at the next tick, and the silent home is left alone for a second. A member whose process has ended can start nothing, so the upstream's own count bounds its holdings at once. The fixtures gave all members one address, which the roster takes as one process replaced by another; they have one each now.

--- a/src/coordination/dispatch/dispatch.cpp
+++ b/src/coordination/dispatch/dispatch.cpp
@@ -24,6 +24,12 @@
 //! After a refused slot, the upstream's home isn't asked again for this time.
 constexpr milliseconds denial_pause{100};
 
+//! A home that doesn't answer isn't asked again for this time.
+constexpr milliseconds silence_pause{1000};
+
+//! An attempt that could start elsewhere waits this long for a home's answer.
+constexpr milliseconds feed_patience{50};
+
 //! Questions for slots of one pool that may be open at once, per unit of cold capacity.
 constexpr std::size_t questions_per_capacity = 2;
 
@@ -143,6 +149,7 @@
     if (ask_slot(context.slots, context.env, context.roster, request, context.out)) {
         pending.slot_asked = upstream;
         pending.slot_asked_at = context.now;
+        pending.slot_may_wait = may_wait;
     }
 }
 
@@ -150,10 +157,12 @@
     if (!pending.slot_asked) {
         return false;
     }
-    if (context.now - pending.slot_asked_at < context.env.timing.start_window) {
+    const milliseconds patience =
+        pending.slot_may_wait ? context.env.timing.start_window : feed_patience;
+    if (context.now - pending.slot_asked_at < patience) {
         return true;
     }
-    context.state.slot_denied_until[*pending.slot_asked] = context.now + denial_pause;
+    context.state.slot_denied_until[*pending.slot_asked] = context.now + silence_pause;
     forget_slot(context, pending);
     return false;
 }
--- a/src/coordination/dispatch/dispatch.h
+++ b/src/coordination/dispatch/dispatch.h
@@ -19,6 +19,7 @@
     attempt_id slot;                        //!< name of the slot asked for, unique to the question
     instant slot_asked_at;
     int slot_asks{0};
+    bool slot_may_wait{false};  //!< no warm upstream had room
 };
 
 //! An attempt that has been granted and hasn't ended.
--- a/src/coordination/dispatch/tests/dispatch_tests.cpp
+++ b/src/coordination/dispatch/tests/dispatch_tests.cpp
@@ -28,8 +28,8 @@
 runner_fixture make_runner() {
     runner_fixture fixture;
     for (std::size_t i = 0; i < 3; ++i) {
-        fixture.everybody.at(i) = {instance_id{"i" + std::to_string(i)}, "127.0.0.1:1",
-                                   zone_name{"a"}};
+        fixture.everybody.at(i) = {instance_id{"i" + std::to_string(i)},
+                                   "127.0.0.1:" + std::to_string(9000 + i), zone_name{"a"}};
     }
     fixture.env.self = fixture.everybody[0];
     fixture.env.pools.pools[pool_name{"p"}].name = pool_name{"p"};
@@ -173,6 +173,28 @@
           asked + runner.env.timing.start_window);
 }
 
+TEST(dispatch_group, a_silent_home_does_not_hold_up_what_a_warm_one_can_take) {
+    // GIVEN a cold upstream whose home is silent, and a warm one, half loaded
+    runner_fixture runner = make_runner();
+    runner.env.pools.pools[pool_name{"p"}].cold_capacity = 2;
+    const listed_instance cold{"u1", "127.0.0.1:2", zone_name{"a"}, "p", false};
+    const listed_instance warm{"u2", "127.0.0.1:3", zone_name{"a"}, "p", false};
+    reduce(runner, instances_listed{store_status::ok, {cold, warm}});
+    known_upstream& known = runner.slots.known.at(upstream_id{"u2"});
+    known.warm = true;
+    known.warm_heard_at = runner.now;
+    known.report.in_flight = 4;
+    known.report.capacity = 8;
+    // WHEN an attempt comes THEN the cold one's home is asked first
+    want(runner);
+    CHECK(sent<slot_request>(runner).has_value());
+    CHECK(decision(runner) == nullptr);
+    // AND the warm one takes it if there is no answer by the next tick
+    runner.now += runner.env.timing.tick;
+    reduce(runner, tick{});
+    CHECK(decision(runner)->decision.value().upstream == known.id);
+}
+
 TEST(dispatch_group, refusals_are_not_run_and_typed) {
     using act = std::function<void(runner_fixture&)>;
 
--- a/src/coordination/slots/holdings.cpp
+++ b/src/coordination/slots/holdings.cpp
@@ -107,6 +107,15 @@
     book.not_yet_reported.erase(from);
 }
 
+//! True if no process is left that could start work on old news.
+bool all_unreported_ended(const slots_context& context, const slot_book& book) {
+    return std::all_of(
+        book.not_yet_reported.begin(), book.not_yet_reported.end(), [&](const instance_id& id) {
+            const auto peer = find_member(context.roster, id);
+            return peer && has_ended(context.roster, context.env, *peer, context.now);
+        });
+}
+
 }  // namespace
 
 void collect_holdings(slots_context& context, known_upstream& upstream, slot_book& book) {
@@ -200,8 +209,9 @@
     if (context.now - since > timing.longest_attempt + timing.start_window) {
         return true;
     }
-    const milliseconds lapse =
-        longest_warm_vouches * timing.vouch + timing.start_window + report_lag;
+    const milliseconds last_start =
+        all_unreported_ended(context, book) ? milliseconds(0) : longest_warm_vouches * timing.vouch;
+    const milliseconds lapse = last_start + timing.start_window + report_lag;
     return book.answered_poll_asked_at && *book.answered_poll_asked_at >= since + lapse;
 }
 
--- a/src/coordination/slots/tests/slots_tests.cpp
+++ b/src/coordination/slots/tests/slots_tests.cpp
@@ -71,8 +71,8 @@
 home_fixture make_home() {
     home_fixture fixture;
     for (std::size_t i = 0; i < 3; ++i) {
-        fixture.everybody.at(i) = {instance_id{"i" + std::to_string(i)}, "127.0.0.1:1",
-                                   zone_name{"a"}};
+        fixture.everybody.at(i) = {instance_id{"i" + std::to_string(i)},
+                                   "127.0.0.1:" + std::to_string(9000 + i), zone_name{"a"}};
     }
     fixture.env.self = fixture.everybody[0];
     fixture.env.pools.pools[pool_name{"p"}].cold_capacity = 2;
@@ -178,6 +178,17 @@
          [&](home_fixture& home) { pass(home, milliseconds(16000), cold, 0); }, "a b "},
         {"silent member bounded by the upstream's own count of one",
          [&](home_fixture& home) { pass(home, milliseconds(16000), cold, 1); }, "a "},
+        {"silent member that has ended, another process having its address",
+         [&](home_fixture& home) {
+             pass(home, milliseconds(3000), cold, 0);
+             report_holdings(home, 1, {});
+             heard_peer& successor = home.roster.heard[instance_id{"i9"}];
+             successor.who = {instance_id{"i9"}, home.everybody[2].address, zone_name{"a"}};
+             successor.answered = true;
+             home.roster.heard.erase(home.everybody[2].id);
+             pass(home, milliseconds(2500), cold, 0);
+         },
+         "a b "},
         {"silent member past the longest attempt",
          [&](home_fixture& home) { pass(home, milliseconds(66000), cold, 0); }, "a b "},
         {"no majority heard within the fence",
