--- a/src/coordination/dispatch/tests/dispatch_tests.cpp
+++ b/src/coordination/dispatch/tests/dispatch_tests.cpp
@@ -220,10 +220,13 @@
              want(runner, milliseconds(0));
          },
          refusal_reason::deadline_exceeded},
-        {"no lists yet",
+        {"no lists within the deadline",
          [](runner_fixture& runner) {
              runner.documents = make_documents(runner.env, runner.now);
-             want(runner);
+             want(runner, milliseconds(300));
+             CHECK(decision(runner) == nullptr);
+             runner.now += milliseconds(300);
+             reduce(runner, tick{});
          },
          refusal_reason::not_ready},
         {"no capacity within the deadline",
--- a/src/coordination/dispatch/tests/fake_fleet.cpp
+++ b/src/coordination/dispatch/tests/fake_fleet.cpp
@@ -151,8 +151,15 @@
     return all.store.up && !all.store_cut.contains(index);
 }
 
+//! Without a way to the store its answer is lost, and the caller's time limit ends the watch.
 void end_watch(fleet& all, fake_watch& watch) {
     watch.done = true;
+    if (!store_answers(all, watch.instance)) {
+        later(all, store_failure_time, [&all, index = watch.instance] {
+            post(all, index, watch_ended{"config/", store_status::unknown, 0, {}});
+        });
+        return;
+    }
     watch_ended ended{"config/", store_status::ok, all.store.revision, {}};
     for (const auto& [key, object] : all.store.objects) {
         if (object.version > watch.after) {
