--- a/src/coordination/documents/spread.cpp
+++ b/src/coordination/documents/spread.cpp
@@ -25,8 +25,10 @@
 //! Between two requests for the same document.
 constexpr milliseconds request_pause{200};
 
-//! Instances outside the roster whose address is remembered.
+//! Digests of merged sets of emergency orders that are remembered.
 constexpr std::size_t kept_digests = 256;
+
+//! Instances outside the roster whose address is remembered.
 constexpr std::size_t kept_pinged_by = 64;
 
 struct versioned_name {
