--- a/src/coordination/once/tests/once_tests.cpp
+++ b/src/coordination/once/tests/once_tests.cpp
@@ -155,6 +155,27 @@
     }
 }
 
+TEST(once, a_silent_runner_counts_as_running_until_its_longest_attempt_is_over) {
+    // GIVEN a runner that died and is still listed, and a home that another takes over from
+    fleet all = make_fleet(3);
+    const std::string key = all.key_of_home(0, 0);
+    all.ask(1, key);
+    all.pump();
+    all.instances[1].dead = true;
+    all.pass(all.instances[0].env.timing.longest_attempt / 2);
+    all.instances[0].once.shards.clear();
+    all.pass(milliseconds(500));
+    // WHEN the key comes again within that time and after it
+    const ticket soon = all.ask(2, key);
+    all.pump();
+    all.pass(all.instances[0].env.timing.longest_attempt + milliseconds(1000));
+    const ticket later = all.ask(2, key);
+    all.pump();
+    // THEN
+    check_verdict(all, soon, permit_verdict::running);
+    check_verdict(all, later, permit_verdict::unknown_outcome);
+}
+
 TEST(once, runs_again_if_the_asking_home_died_before_the_write) {
     // GIVEN a home that asks itself and dies before its write arrives
     fleet all = make_fleet(3);
--- a/src/coordination/shares/tests/shares_tests.cpp
+++ b/src/coordination/shares/tests/shares_tests.cpp
@@ -167,6 +167,30 @@
     CHECK_TRUE(offered.served - before <= 2 * 80);
 }
 
+TEST(shares, a_burst_after_light_load_is_bounded) {
+    // GIVEN full buckets after light load at one instance
+    share_fleet all = make_share_fleet(8, test_limits());
+    for (int count = 0; count < 200; ++count) {
+        if (all.take(0)) {
+            all.end(0, 0);
+        }
+        all.step();
+    }
+    // WHEN every instance is flooded for a second
+    int served = 0;
+    for (int count = 0; count < 20; ++count) {
+        for (std::size_t index = 0; index < 8; ++index) {
+            while (all.take(index)) {
+                all.end(index, 0);
+                ++served;
+            }
+        }
+        all.step();
+    }
+    // THEN they serve the limit, a fifth of a second's worth and one request each at most
+    CHECK_TRUE(served <= 80 + 80 / 5 + 8);
+}
+
 TEST(shares, what_is_idle_is_given_up) {
     share_fleet all = make_share_fleet(4, test_limits());
     load offered;
