--- a/src/coordination/admission/admission.cpp
+++ b/src/coordination/admission/admission.cpp
@@ -163,6 +163,10 @@
     end_drain(state, env, roster, now, out);
 }
 
+bool wants_to_leave(const admission_state& state) {
+    return state.stopping && state.running.empty();
+}
+
 bool is_ready(const admission_state& state, const roster_state& roster,
               const documents_state& documents) {
     return !state.stopping && has_lists(documents) && is_member(roster);
