--- a/src/upstreams/attempt_call.h
+++ b/src/upstreams/attempt_call.h
@@ -59,7 +59,7 @@
     int tokens{0};         //!< accepted from a stream
     milliseconds busy{0};  //!< as the upstream told
     milliseconds took{0};
-    milliseconds first_token{0};  //!< 0 if none came
+    milliseconds first_token{0};  //!< of a stage or service the first byte; 0 if none came
     upstream_report report;       //!< upstream empty if none came
 };
 
--- a/src/upstreams/tests/upstream_client_tests.cpp
+++ b/src/upstreams/tests/upstream_client_tests.cpp
@@ -301,6 +301,8 @@
     STRCMP_EQUAL(R"({"x":1})", got.body.c_str());
     const int left = std::stoi(got.headers.at("x-deadline-ms"));
     CHECK(left > 0 && left <= 5000);
+    // THEN the time of its first byte is told, from which hedges are timed
+    CHECK(posted.all().at(0).first_token > 0ms);
     // THEN its load came with the answer
     STRCMP_EQUAL("u1", ended.result.report.upstream.value.c_str());
     CHECK(ended.result.report.condition == upstream_condition::warm);
--- a/src/upstreams/transfer.cpp
+++ b/src/upstreams/transfer.cpp
@@ -46,6 +46,8 @@
 
 namespace {
 
+constexpr int status_ok = 200;
+
 attempt_outcome outcome_of(attempt_fault fault) {
     switch (fault) {
     case attempt_fault::none:
@@ -159,7 +161,9 @@
     if (!read_body(me.reader_, me.call_, std::string_view(data, size * count))) {
         return 0;
     }
-    if (me.first_token_at_ == instant{} && me.reader_.accepted > 0) {
+    const bool begun = me.call_.kind == pool_kind::engine ? me.reader_.accepted > 0
+                                                          : me.reader_.status == status_ok;
+    if (me.first_token_at_ == instant{} && begun) {
         me.first_token_at_ = me.last_progress_;
     }
     return size * count;
