A stalled token stream is hedged from the tokens already sent

A stream that stopped in the middle was resumed only once its connection counted as silent, 1.5 s later. Now a hedge starts after half a second without a token; the first to bring the next token goes on, the other is cancelled.

--- a/src/pipeline/internal/stage_run.h
+++ b/src/pipeline/internal/stage_run.h
@@ -38,6 +38,7 @@
         upstream_id upstream;
         zone_name zone;
         instant started;
+        instant last_token_at;        //!< `instant{}` before the first
         milliseconds hedge_after{0};  //!< 0: no hedge
         bool is_hedge{false};
         int next_index{0};
@@ -47,6 +48,7 @@
     void step();
     void start_first();
     void start_hedge_if_due();
+    static bool hedge_is_due(const live_attempt& first, instant now);
     bool start(bool is_hedge, milliseconds limit);
     std::optional<refusal> acquire_refused(refusal told);
     attempt_wanted question(bool is_hedge) const;
--- a/src/pipeline/stage_run.cpp
+++ b/src/pipeline/stage_run.cpp
@@ -11,6 +11,7 @@
 constexpr auto poll_period = 20ms;
 constexpr auto hedge_question_limit = 20ms;
 constexpr auto shortest_hedge_delay = 10ms;
+constexpr auto stall_before_hedge = 500ms;  //!< in a token stream
 constexpr auto pause_before_retried_upstream = 20ms;
 constexpr int most_free_repeats = 4;
 constexpr int most_attempts = 64;
@@ -128,7 +129,7 @@
     }
     const attempt_grant& grant = decision.value();
     grant_guard guard(env_.control.post, asked.attempt, grant.upstream);
-    live_attempt started{grant.upstream, grant.zone, boot_clock::now()};
+    live_attempt started{grant.upstream, grant.zone, boot_clock::now(), {}};
     started.is_hedge = is_hedge;
     started.next_index = static_cast<int>(tokens_.size());
     if (grant.expected_first_byte > 0ms) {
@@ -156,13 +157,21 @@
     return outcome_.refused;
 }
 
+bool stage_run::hedge_is_due(const live_attempt& first, instant now) {
+    if (first.hedge_after == 0ms) {
+        return false;
+    }
+    return first.last_token_at == instant{} ? now >= first.started + first.hedge_after
+                                            : now >= first.last_token_at + stall_before_hedge;
+}
+
 void stage_run::start_hedge_if_due() {
     if (live_.size() != 1) {
         return;
     }
     live_attempt& first = live_.begin()->second;
     const instant now = boot_clock::now();
-    if (first.hedge_after == 0ms || first.used || now < first.started + first.hedge_after) {
+    if (!hedge_is_due(first, now)) {
         return;
     }
     first.hedge_after = 0ms;
@@ -193,7 +202,9 @@
         ++env_.upstreams.counters().late;
         return;
     }
-    take_tokens(news.attempt, found->second, news.tokens);
+    if (!news.tokens.empty()) {
+        take_tokens(news.attempt, found->second, news.tokens);
+    }
     if (news.end && live_.contains(news.attempt)) {
         const live_attempt from = live_.at(news.attempt);
         live_.erase(news.attempt);
@@ -204,6 +215,7 @@
 void stage_run::take_tokens(const attempt_id& attempt, live_attempt& from,
                             const std::vector<received_token>& tokens) {
     bool won = false;
+    from.last_token_at = boot_clock::now();
     for (const received_token& token : tokens) {
         const auto index = static_cast<std::size_t>(token.index);
         from.next_index = token.index + 1;
--- a/src/pipeline/tests/pipeline_tests.cpp
+++ b/src/pipeline/tests/pipeline_tests.cpp
@@ -232,6 +232,27 @@
     LONGS_EQUAL(1, one.first.cancels());
 }
 
+TEST(pipeline, a_stalled_stream_is_hedged_from_the_tokens_already_sent) {
+    // GIVEN an engine that stalls after two tokens, for less than the silence that ends it
+    bench one([](const request& r, const reply& s) {
+        begin_with(r, s, {0, 1});
+        s.stay_silent();
+    });
+    upstream_client_settings patient;
+    patient.stream_silence = 60000ms;
+    one.upstreams = std::move(upstream_client::start(patient).value());
+    one.control.expected_first_byte = 20ms;
+
+    // WHEN a request runs
+    const run_result ended = one.run();
+
+    // THEN the hedge went on where the tokens had ended
+    check_whole(one, "stalled");
+    LONGS_EQUAL(1, ended.costs.at(1).hedges);
+    LONGS_EQUAL(2, resume_from(one.second.requests().at(0)));
+    check_each_grant_ended_once(one, "stalled");
+}
+
 TEST(pipeline, repeats_end_with_the_budget) {
     // GIVEN a pool that always fails, and a budget for three repeats
     const upstream_script fail = [](const request&, const reply&) {};
