Fault table: an unrecorded order counts as taken; store faults end first

The daemon answers 202 to an order that isn't recorded yet. The return of a zone needs a store that can record it, so the store comes back before it.

--- a/tools/lib/fault_table.py
+++ b/tools/lib/fault_table.py
@@ -8,6 +8,7 @@
 import traffic as traffics
 
 PAST_THE_FENCE_S = 3.5
+ORDER_LIMIT_S = 10.0
 UPSTREAM_POOLS = ["encoders", "retrievers", "menu-engines", "supplier-ordering"]
 
 
@@ -173,12 +174,14 @@
         self.inside = [one for one in context.fleet.upstreams if one.zone == self.zone]
 
     def order(self, out):
+        """An order that isn't recorded yet, while the store is down, is answered 202."""
         body = {"zone": self.zone, "out": out, "reason": "fault table"}
-        for _ in range(20):
+        ends = time.monotonic() + ORDER_LIMIT_S
+        while time.monotonic() < ends:
             try:
                 answer = self.context.steady_instance().operator_call(
                     "POST", "/v1/availability", body, timeout=5.0)
-                if answer.status == 200:
+                if answer.status == 200 or (out and answer.status == 202):
                     return True
             except OSError:
                 pass
--- a/tools/lib/faults.py
+++ b/tools/lib/faults.py
@@ -52,7 +52,8 @@
     for one in active:
         one.begin()
     time.sleep(FAULT_S)
-    for one in reversed(active):
+    # Only a store that is back can record the return of a zone.
+    for one in sorted(active, key=lambda fault: not isinstance(fault, fault_table.StoreFault)):
         one.end()
     begun = time.monotonic()
     try:
