--- a/src/coordination/once/once.h
+++ b/src/coordination/once/once.h
@@ -18,8 +18,8 @@
 inline constexpr std::uint64_t shards = 16;  //!< the same for the whole fleet, for good
 inline constexpr milliseconds retention{60 * 60 * 1000};  //!< a key is kept at least this long
 inline constexpr std::size_t journal_bytes = std::size_t{900} * 1024;  //!< of one shard's object
-inline constexpr std::size_t body_bytes = 2048;           //!< larger answers aren't kept
-inline constexpr std::size_t waiting_requests = 1024;     //!< of one shard, while it loads
+inline constexpr std::size_t body_bytes = 2048;        //!< larger answers aren't kept
+inline constexpr std::size_t waiting_requests = 1024;  //!< of one shard, while it loads
 inline constexpr std::size_t unsettled_notices = 4096;
 inline constexpr milliseconds write_interval{100};       //!< between two writes of one shard
 inline constexpr milliseconds outcome_delay{1000};       //!< outcomes wait so long for an intent
--- a/src/peers/http2_callbacks.cpp
+++ b/src/peers/http2_callbacks.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstring>
 
 namespace cyclamenmount::detail {
 
@@ -138,7 +137,7 @@
     }
     auto& upload = found->second;
     const std::size_t count = std::min(size, upload.body.size() - upload.sent);
-    std::memcpy(out, upload.body.data() + upload.sent, count);
+    std::copy_n(upload.body.begin() + static_cast<std::ptrdiff_t>(upload.sent), count, out);
     upload.sent += count;
     if (upload.sent == upload.body.size()) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
