--- a/src/upstreams/canceller.cpp
+++ b/src/upstreams/canceller.cpp
@@ -10,6 +10,7 @@
 
 constexpr auto retry_pause = 100ms;
 constexpr int poll_limit_ms = 50;
+constexpr int idle_limit_ms = 1000;
 constexpr long connections_kept = 16;
 
 std::size_t ignore_body(char* /*data*/, std::size_t size, std::size_t count, void* /*unused*/) {
@@ -30,9 +31,6 @@
     }
     curl_multi_wakeup(multi_.get());
     thread_.join();
-    for (sending& value : sending_) {
-        curl_multi_remove_handle(multi_.get(), value.easy.get());
-    }
 }
 
 void canceller::enqueue(cancel_order order) {
@@ -45,32 +43,33 @@
 
 void canceller::run() {
     for (;;) {
-        {
-            const std::lock_guard lock(mutex_);
-            if (stopping_) {
-                return;
-            }
+        const bool stopping = take_orders();
+        if (stopping && sending_.empty()) {
+            return;  // each order was sent once; what is waiting to be sent again isn't
+        }
+        if (!stopping) {
+            retry_due();
         }
-        take_orders();
-        retry_due();
         int running = 0;
         curl_multi_perform(multi_.get(), &running);
         collect();
-        const bool idle = sending_.empty() && retries_.empty();
-        constexpr int idle_limit_ms = 1000;
+        const bool idle = !stopping && sending_.empty() && retries_.empty();
         curl_multi_poll(multi_.get(), nullptr, 0, idle ? idle_limit_ms : poll_limit_ms, nullptr);
     }
 }
 
-void canceller::take_orders() {
+bool canceller::take_orders() {
     std::deque<std::unique_ptr<cancel_order>> taken;
+    bool stopping = false;
     {
         const std::lock_guard lock(mutex_);
         taken.swap(orders_);
+        stopping = stopping_;
     }
     for (auto& order : taken) {
         send(std::move(order));
     }
+    return stopping;
 }
 
 void canceller::send(std::unique_ptr<cancel_order> order) {
