--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 //! Runs every part on one event, in the order in which they read each other. The roster hears of a
-//! stop only once nothing runs.
+//! stop only once nothing runs and every outcome of a call is confirmed.
 effects reduce_parts(control_state& state, const event& happened, instant now) {
     effects out;
     const auto& env = state.env;
@@ -26,7 +26,7 @@
                     state.quarantine, happened, now, out);
     reduce_admission(state.admission, env, state.roster, state.documents, state.shares,
                      state.quarantine, state.dispatch, happened, now, out);
-    if (wants_to_leave(state.admission)) {
+    if (wants_to_leave(state.admission) && is_settled(state.once)) {
         reduce_roster(state.roster, env, stop_wanted{}, now, out);
     }
     return out;
--- a/src/coordination/shares/division.cpp
+++ b/src/coordination/shares/division.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 //! Part of every limit that is usable without a grant, over all members.
-constexpr double floor_part = 0.1;
+constexpr double floor_part = 0.3;
 
 //! The highest share of anyone whose demand isn't met; demands exceed the limit together.
 double water_level(double limit, std::span<const double> demands) {
--- a/src/operators/operator_server.cpp
+++ b/src/operators/operator_server.cpp
@@ -35,19 +35,6 @@
     return {422, "application/problem+json", {}, body.dump()};
 }
 
-json describe_changes(const std::vector<change_record>& changes) {
-    json listed = json::array();
-    for (const auto& change : changes) {
-        listed.push_back({{"operation", change.operation},
-                          {"who", change.who},
-                          {"reason", change.reason},
-                          {"what", change.what},
-                          {"at_ms", change.at_ms},
-                          {"base", change.base}});
-    }
-    return listed;
-}
-
 std::int64_t wall_clock_ms() {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
     return std::chrono::duration_cast<milliseconds>(now).count();
--- a/src/operators/operator_server.h
+++ b/src/operators/operator_server.h
@@ -6,6 +6,8 @@
 #include "control/control.h"
 #include "http_server/http_server.h"
 
+#include <span>
+
 #include <nlohmann/json.hpp>
 
 namespace cyclamenmount {
@@ -45,6 +47,9 @@
 //! The control state as operators see it: members, upstreams, what is out, versions.
 nlohmann::json describe_status(const control_state& state, instant now);
 
+//! A document's changes, newest first.
+nlohmann::json describe_changes(std::span<const change_record> changes);
+
 //! Versions in force at this instance and, as last heard, at its peers.
 nlohmann::json describe_versions(const control_state& state);
 
--- a/src/operators/status.cpp
+++ b/src/operators/status.cpp
@@ -19,13 +19,6 @@
     };
 }
 
-json describe(const change_record& change) {
-    return {
-        {"operation", change.operation}, {"who", change.who},     {"reason", change.reason},
-        {"what", change.what},           {"at_ms", change.at_ms}, {"base", change.base},
-    };
-}
-
 json describe_roster(const control_state& state, instant now) {
     json listed = json::array();
     for (const auto& one : members(state.roster)) {
@@ -93,6 +86,19 @@
 
 }  // namespace
 
+json describe_changes(std::span<const change_record> changes) {
+    json listed = json::array();
+    for (const auto& change : changes) {
+        listed.push_back({{"operation", change.operation},
+                          {"who", change.who},
+                          {"reason", change.reason},
+                          {"what", change.what},
+                          {"at_ms", change.at_ms},
+                          {"base", change.base}});
+    }
+    return listed;
+}
+
 json describe_versions(const control_state& state) {
     json peers = json::object();
     for (const auto& [id, versions] : state.documents.in_force) {
@@ -115,11 +121,7 @@
     }
     json histories = json::object();
     for (const auto& [name, held] : state.documents.held) {
-        json changes = json::array();
-        for (const auto& change : held.changes) {
-            changes.push_back(describe(change));
-        }
-        histories[name] = {{"version", held.version}, {"changes", std::move(changes)}};
+        histories[name] = {{"version", held.version}, {"changes", describe_changes(held.changes)}};
     }
     return {
         {"instance", state.env.self.id.value},
--- a/src/pipeline/problem.h
+++ b/src/pipeline/problem.h
@@ -11,9 +11,6 @@
 
 int http_status_of(refusal_reason reason);
 
-const char* name_of(refusal_reason reason);
-const char* name_of(execution state);
-
 nlohmann::json problem_json(const refusal& refused);
 
 //! Reads what `problem_json` wrote; an unknown reason is `internal`.
