--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -267,8 +267,10 @@
 
 bool daemon_process::drain() {
     LOG(INFO) << "daemon: draining.";
-    impl_->control->post(stop_wanted{});
+    impl_->callers->announce_stop();
+    std::this_thread::sleep_for(impl_->settings.stop_notice);
     impl_->callers->stop_accepting();
+    impl_->control->post(stop_wanted{});
     const auto limit = boot_clock::now() + impl_->settings.drain_limit;
     while (boot_clock::now() < limit) {
         if (impl_->callers->drained() && impl_->control->drained()) {
--- a/src/callers/caller_server.cpp
+++ b/src/callers/caller_server.cpp
@@ -64,7 +64,7 @@
     }
     const bool ready = !shared.stopping && shared.with.control.ready();
     if (http.path() == "/readyz") {
-        http.send_json(ready ? status_ok : status_unavailable, "{}");
+        http.send_json(ready && !shared.will_stop ? status_ok : status_unavailable, "{}");
         return;
     }
     const running_guard counted(shared.running);
@@ -185,6 +185,10 @@
     return mg_get_server_ports(impl_->context, 1, &ports) > 0 ? ports.port : 0;
 }
 
+void caller_server::announce_stop() {
+    impl_->shared.will_stop = true;
+}
+
 void caller_server::stop_accepting() {
     impl_->shared.stopping = true;
 }
--- a/src/callers/caller_server.h
+++ b/src/callers/caller_server.h
@@ -4,7 +4,8 @@
 //!   - build a `control_client`, an `upstream_client`, a `retry_budget` and an `answer_store`;
 //!   - give `answer_store::answer_read` to `peer_handlers::on_read`;
 //!   - set `read_peer` to `peer_network::read(runner.address, query, timeout)`;
-//!   - on SIGTERM: `stop_accepting`, wait until `drained`, then destroy the server.
+//!   - on SIGTERM: `announce_stop`, a while later `stop_accepting`, wait until `drained`, then
+//!   destroy the server.
 #pragma once
 
 #include "pipeline/answer_store.h"
@@ -48,6 +49,9 @@
 
     [[nodiscard]] int port() const;
 
+    //! From now on `/readyz` says no, so that a balancer turns away; requests are still taken.
+    void announce_stop();
+
     //! From now on new requests are refused as not run.
     void stop_accepting();
 
--- a/src/callers/internal/serving.h
+++ b/src/callers/internal/serving.h
@@ -11,6 +11,7 @@
 struct serving {
     caller_settings settings;
     caller_dependencies with;
+    std::atomic<bool> will_stop{false};  //!< not ready any more, but still takes requests
     std::atomic<bool> stopping{false};
     std::atomic<int> running{0};   //!< requests and runs
     std::atomic<int> handling{0};  //!< requests with a caller
--- a/src/callers/tests/caller_server_tests.cpp
+++ b/src/callers/tests/caller_server_tests.cpp
@@ -330,6 +330,18 @@
     UNSIGNED_LONGS_EQUAL(1, one.control.all_posted<claim_ended>().size());
 }
 
+TEST(caller_server, a_stop_is_announced_before_requests_are_refused) {
+    // GIVEN an instance that serves
+    instance one("i1", four_stages(), answer_rightly);
+
+    // WHEN its stop is announced
+    one.server->announce_stop();
+
+    // THEN the balancer is told to turn away, and what it still sends is served
+    LONGS_EQUAL(503, ask(one.port(), {"GET", "/readyz", {}, {}}).status);
+    check_whole(ask(one.port(), pipeline_request(R"({"input":"dish"})")));
+}
+
 TEST(caller_server, a_stop_refuses_new_requests_and_finishes_the_running_ones) {
     // GIVEN a request that runs
     gate finish;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -89,6 +89,11 @@
              auto& target = into.settings.concurrency;
              target = whole_number(into.check, entry, 1, max_concurrency, target);
          }},
+        {"stop_notice_ms",
+         [](reading& into, const ini_entry& entry) {
+             auto& target = into.settings.stop_notice;
+             target = period(into, entry, target);
+         }},
         {"drain_limit_ms",
          [](reading& into, const ini_entry& entry) {
              auto& target = into.settings.drain_limit;
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -12,10 +12,11 @@
 struct daemon_settings {
     std::string cell{"cell-1"};
     zone_name zone;
-    std::string peer_listen;      //!< IP:PORT
-    std::string caller_listen;    //!< IP:PORT
-    std::string operator_listen;  //!< IP:PORT
-    int concurrency{64};          //!< requests running at once on this instance
+    std::string peer_listen;         //!< IP:PORT
+    std::string caller_listen;       //!< IP:PORT
+    std::string operator_listen;     //!< IP:PORT
+    int concurrency{64};             //!< requests running at once on this instance
+    milliseconds stop_notice{1500};  //!< between not ready and refusing, for the balancer
     milliseconds drain_limit{60000};
     std::string object_api;            //!< IP:PORT
     std::string peer_secret_file;      //!< readable by its owner only
