Field names of one byte in messages between instances

Change: known field names travel as one byte; full names are still understood. A test keeps every new field in the table.

--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -1,6 +1,7 @@
 //! Peer messages as MessagePack.
 #include "codec/codec.h"
 
+#include "codec/internal/field_names.h"
 #include "codec/internal/json_messages.h"
 #include "codec/internal/json_variant.h"
 
@@ -177,7 +178,7 @@
     nlohmann::json value;
     to_json(value, message);
     std::string bytes;
-    nlohmann::json::to_msgpack(value, bytes);
+    nlohmann::json::to_msgpack(detail::with_short_names(value), bytes);
     return bytes;
 }
 
@@ -189,7 +190,8 @@
         if (!is_well_formed(bytes)) {
             return invalid("not one well-formed MessagePack value");
         }
-        const auto given = nlohmann::json::from_msgpack(bytes.begin(), bytes.end());
+        const auto given =
+            detail::with_full_names(nlohmann::json::from_msgpack(bytes.begin(), bytes.end()));
         peer_message message;
         from_json(given, message);
         nlohmann::json understood;
--- /dev/null
+++ b/src/codec/field_names.cpp
@@ -0,0 +1,133 @@
+#include "codec/internal/field_names.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace cyclamenmount::detail {
+
+namespace {
+
+//! The position is the wire form: new names go to the end, and none is taken out.
+constexpr std::array<std::string_view, 70> field_names = {"kind",
+                                                          "from",
+                                                          "sequence",
+                                                          "versions",
+                                                          "leaving",
+                                                          "value",
+                                                          "version",
+                                                          "name",
+                                                          "have",
+                                                          "orders",
+                                                          "upstream",
+                                                          "incarnation",
+                                                          "sign",
+                                                          "generation",
+                                                          "reports",
+                                                          "attempt",
+                                                          "lasts_at_most",
+                                                          "waits_at_most",
+                                                          "granted",
+                                                          "restartable",
+                                                          "attempts",
+                                                          "workspace",
+                                                          "requests_per_second",
+                                                          "concurrent",
+                                                          "running",
+                                                          "tokens_per_minute",
+                                                          "demands",
+                                                          "applied",
+                                                          "shares",
+                                                          "number",
+                                                          "key",
+                                                          "body",
+                                                          "pool",
+                                                          "operation",
+                                                          "known",
+                                                          "status",
+                                                          "verdict",
+                                                          "permit",
+                                                          "outcome",
+                                                          "request",
+                                                          "stage",
+                                                          "output",
+                                                          "runner",
+                                                          "finished_stages",
+                                                          "died",
+                                                          "cleared",
+                                                          "suspects",
+                                                          "quarantined",
+                                                          "id",
+                                                          "address",
+                                                          "zone",
+                                                          "settled",
+                                                          "members",
+                                                          "proposal",
+                                                          "role",
+                                                          "condition",
+                                                          "in_flight",
+                                                          "capacity",
+                                                          "who",
+                                                          "reason",
+                                                          "what",
+                                                          "at_ms",
+                                                          "base",
+                                                          "text",
+                                                          "changes",
+                                                          "plans",
+                                                          "allowances",
+                                                          "availability",
+                                                          "emergency_digest",
+                                                          "quarantine_digest"};
+
+constexpr char first_short_name = '!';
+constexpr char last_printable = '~';
+
+static_assert(first_short_name + field_names.size() <= last_printable);
+
+std::string short_name(std::string_view full) {
+    const auto found = std::ranges::find(field_names, full);
+    if (found == field_names.end()) {
+        return std::string(full);
+    }
+    return {static_cast<char>(first_short_name + (found - field_names.begin()))};
+}
+
+std::string full_name(std::string_view name) {
+    const auto index = static_cast<std::size_t>(name.empty() ? 0 : name[0] - first_short_name);
+    if (name.size() != 1 || index >= field_names.size()) {
+        return std::string(name);
+    }
+    return std::string(field_names.at(index));
+}
+
+template <typename Rename>
+nlohmann::json renamed(const nlohmann::json& value, Rename rename) {
+    if (value.is_array()) {
+        nlohmann::json out = nlohmann::json::array();
+        for (const auto& element : value) {
+            out.push_back(renamed(element, rename));
+        }
+        return out;
+    }
+    if (!value.is_object()) {
+        return value;
+    }
+    nlohmann::json out = nlohmann::json::object();
+    for (const auto& [name, field] : value.items()) {
+        out[rename(name)] = renamed(field, rename);
+    }
+    return out;
+}
+
+}  // namespace
+
+nlohmann::json with_short_names(const nlohmann::json& value) {
+    return renamed(value, short_name);
+}
+
+nlohmann::json with_full_names(const nlohmann::json& value) {
+    return renamed(value, full_name);
+}
+
+}  // namespace cyclamenmount::detail
--- a/src/codec/tests/codec_tests.cpp
+++ b/src/codec/tests/codec_tests.cpp
@@ -1,8 +1,10 @@
 //! Round trips, malformed inputs and seeded mutations of peer messages and events.
 #include "codec/codec.h"
+#include "codec/internal/field_names.h"
 #include "codec/internal/json_events.h"
 
 #include <random>
+#include <sstream>
 
 #include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
@@ -91,8 +93,29 @@
     }
 }
 
+TEST(codec, every_field_name_takes_one_byte_on_the_wire) {
+    for (const auto& message : sample_messages()) {
+        // GIVEN an encoded message
+        const auto wire = nlohmann::json::from_msgpack(encode_message(message)).flatten();
+
+        // THEN no name at any depth is longer than one byte
+        for (const auto& [path, value] : wire.items()) {
+            std::istringstream parts(path.substr(1));
+            std::string name;
+            while (std::getline(parts, name, '/')) {
+                const bool is_index = name.find_first_not_of("0123456789") == std::string::npos;
+                CHECK_TEXT(is_index || name.size() == 1 || name == "~0" || name == "~1",
+                           path.c_str());
+            }
+        }
+    }
+}
+
 TEST(codec, malformed_inputs_are_errors) {
-    const nlohmann::json good = nlohmann::json::from_msgpack(encode_message(ping{}));
+    const nlohmann::json wire = nlohmann::json::from_msgpack(encode_message(ping{}));
+    const nlohmann::json good = detail::with_full_names(wire);
+    auto short_without = wire;
+    short_without.erase(short_without.begin());
     const auto with = [&](const char* path, const nlohmann::json& value) {
         auto changed = good;
         changed[nlohmann::json::json_pointer(path)] = value;
@@ -105,6 +128,7 @@
         {"unknown kind", with("/kind", "pang")},
         {"kind not a string", with("/kind", 1)},
         {"missing field", pack(without)},
+        {"missing field, short names", pack(short_without)},
         {"string for a number", with("/sequence", "1")},
         {"bool for a number", with("/sequence", true)},
         {"fraction for a whole number", with("/sequence", 1.5)},
