--- a/src/callers/internal/request_fields.h
+++ b/src/callers/internal/request_fields.h
@@ -37,8 +37,6 @@
 //! Frame number of a query such as `from=12`; 0 without one.
 decided<std::size_t> parse_from(std::string_view query);
 
-std::string sha256_hex(std::string_view text);
-
 //! Hash of the caller, the target and the body.
 fingerprint fingerprint_of(std::string_view owner, std::string_view target, std::string_view body);
 
--- a/src/callers/request_fields.cpp
+++ b/src/callers/request_fields.cpp
@@ -1,5 +1,7 @@
 #include "callers/internal/request_fields.h"
 
+#include "secrets/secrets.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -7,7 +9,6 @@
 
 #include <boost/outcome/try.hpp>
 #include <nlohmann/json.hpp>
-#include <openssl/sha.h>
 #include <xxhash.h>
 
 namespace cyclamenmount::detail {
@@ -130,18 +131,6 @@
     return std::size_t{*value};
 }
 
-std::string sha256_hex(std::string_view text) {
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-    SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest.data());
-    constexpr std::string_view digits = "0123456789abcdef";
-    std::string hex;
-    for (const unsigned char byte : digest) {
-        hex.push_back(digits[byte >> 4U]);
-        hex.push_back(digits[byte & 15U]);
-    }
-    return hex;
-}
-
 fingerprint fingerprint_of(std::string_view owner, std::string_view target, std::string_view body) {
     std::string whole;
     for (const std::string_view part : {owner, target, body}) {
--- a/src/ctl/call.cpp
+++ b/src/ctl/call.cpp
@@ -64,6 +64,21 @@
     return unknown ? exit_code::unknown : exit_code::failed;
 }
 
+exit_code read_json(const ctl_options& options, const ctl_world& world, const std::string& path,
+                    json& body) {
+    client_request request;
+    request.path = path;
+    const auto response = call_operator(options, world, request);
+    if (response.has_error()) {
+        return report_failure(world, response.error());
+    }
+    if (response.value().status != 200) {
+        return report_problem(world, response.value());
+    }
+    body = json::parse(response.value().body, nullptr, false);
+    return exit_code::done;
+}
+
 void print_findings(const ctl_world& world, const json& body, const std::string& file) {
     for (const auto& one : body.value("findings", json::array())) {
         world.err << file << ':' << one.value("line", 0) << ": " << text_of(one, "message") << '\n';
--- a/src/ctl/fleet_commands.cpp
+++ b/src/ctl/fleet_commands.cpp
@@ -105,16 +105,11 @@
         world.err << "cyclamenctl: status takes no more words\n";
         return exit_code::usage;
     }
-    client_request request;
-    request.path = "/v1/status";
-    const auto response = call_operator(options, world, request);
-    if (response.has_error()) {
-        return report_failure(world, response.error());
-    }
-    if (response.value().status != 200) {
-        return report_problem(world, response.value());
+    json status;
+    const auto code = read_json(options, world, "/v1/status", status);
+    if (code != exit_code::done) {
+        return code;
     }
-    const auto status = json::parse(response.value().body, nullptr, false);
     if (options.json) {
         world.out << status.dump(2) << '\n';
         return exit_code::done;
--- a/src/ctl/internal/call.h
+++ b/src/ctl/internal/call.h
@@ -17,6 +17,10 @@
 exit_code report_failure(const ctl_world& world, const error& failure);
 exit_code report_problem(const ctl_world& world, const client_response& response);
 
+//! Reads `path` into `body`; anything but success is printed and gives its exit code.
+exit_code read_json(const ctl_options& options, const ctl_world& world, const std::string& path,
+                    nlohmann::json& body);
+
 //! Prints findings as FILE:LINE: MESSAGE.
 void print_findings(const ctl_world& world, const nlohmann::json& body, const std::string& file);
 
--- a/src/ctl/list_commands.cpp
+++ b/src/ctl/list_commands.cpp
@@ -154,16 +154,11 @@
 }
 
 exit_code history(const ctl_options& options, const ctl_world& world, const std::string& name) {
-    client_request request;
-    request.path = "/v1/lists/" + name + "/history";
-    const auto response = call_operator(options, world, request);
-    if (response.has_error()) {
-        return report_failure(world, response.error());
-    }
-    if (response.value().status != 200) {
-        return report_problem(world, response.value());
+    json body;
+    const auto code = read_json(options, world, "/v1/lists/" + name + "/history", body);
+    if (code != exit_code::done) {
+        return code;
     }
-    const auto body = json::parse(response.value().body, nullptr, false);
     if (options.json) {
         world.out << body.dump(2) << '\n';
     } else {
--- a/src/peers/handshake.cpp
+++ b/src/peers/handshake.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <vector>
 
-#include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
@@ -74,11 +73,6 @@
     return proof(secret, "server", agreed);
 }
 
-bool equal_in_constant_time(std::string_view left, std::string_view right) {
-    return left.size() == right.size() &&
-           CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
-}
-
 std::string encode_hello(const hello_request& request) {
     return join({request.client.value, request.nonce});
 }
--- a/src/peers/incoming.cpp
+++ b/src/peers/incoming.cpp
@@ -3,6 +3,7 @@
 
 #include "codec/codec.h"
 #include "peers/internal/batch.h"
+#include "secrets/secrets.h"
 
 #include <glog/logging.h>
 #include <poll.h>
@@ -30,7 +31,7 @@
 
 bool on_proof(incoming_peer& peer, const http2_exchange& request, network_context context) {
     const auto expected = client_proof(context.settings.secret, peer.agreed);
-    if (!peer.greeted || !equal_in_constant_time(expected, request.body)) {
+    if (!peer.greeted || !same_secret(expected, request.body)) {
         return false;
     }
     peer.authenticated = true;
--- a/src/peers/internal/handshake.h
+++ b/src/peers/internal/handshake.h
@@ -38,9 +38,6 @@
 std::string client_proof(const std::string& secret, const handshake& agreed);
 std::string server_proof(const std::string& secret, const handshake& agreed);
 
-//! Takes the same time wherever the two differ.
-bool equal_in_constant_time(std::string_view left, std::string_view right);
-
 std::string encode_hello(const hello_request& request);
 std::string encode_hello(const hello_reply& reply);
 result<hello_request> decode_hello_request(std::string_view bytes);
--- a/src/peers/outgoing.cpp
+++ b/src/peers/outgoing.cpp
@@ -3,6 +3,7 @@
 
 #include "codec/codec.h"
 #include "peers/internal/batch.h"
+#include "secrets/secrets.h"
 
 #include <algorithm>
 
@@ -92,7 +93,7 @@
     peer.agreed.server = reply.value().server;
     peer.agreed.server_nonce = reply.value().nonce;
     const auto expected = server_proof(context.settings.secret, peer.agreed);
-    if (!equal_in_constant_time(expected, reply.value().proof)) {
+    if (!same_secret(expected, reply.value().proof)) {
         refuse_stranger(peer, context, now);
         return;
     }
