The whole path on the users' platform: an edge daemon over their store, callers and runners

One daemon and role, cyclamenmount-edge. Pieces of all instances go to one packer a pool, chosen by rendezvous over the members; engines are chosen by the prompt's last shared part. Decisions are reducers without I/O in src/serving, src/packing and src/placement, each with tests; platform/ translates.

--- a/bench/homes/placement.cpp
+++ b/bench/homes/placement.cpp
@@ -36,7 +36,7 @@
         std::size_t best = 0;
         std::uint64_t highest = 0;
         for (std::size_t i = 0; i < ids.size(); ++i) {
-            const auto weight = detail::rendezvous_weight(ids[i], key);
+            const auto weight = rendezvous_weight(ids[i], key);
             if (weight >= highest) {
                 highest = weight;
                 best = i;
--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -18,6 +18,9 @@
 
 # cyclamenmount_test(NAME SOURCES ... [LINK ...]): one CppUTest runner, registered with CTest.
 function(cyclamenmount_test name)
+  if(CYCLAMENMOUNT_PLATFORM_ONLY)
+    return()
+  endif()
   cmake_parse_arguments(TEST "" "" "SOURCES;LINK" ${ARGN})
   cyclamenmount_program(${name} SOURCES ${PROJECT_SOURCE_DIR}/src/testing/main.cpp ${TEST_SOURCES}
                                 LINK ${TEST_LINK} PkgConfig::CPPUTEST)
--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -40,7 +40,11 @@
                                                             "suspects_notice",
                                                             "trial_request",
                                                             "trial_reply",
-                                                            "trial_end"};
+                                                            "trial_end",
+                                                            "pieces_request",
+                                                            "pieces_cancel",
+                                                            "pieces_release",
+                                                            "pieces_reply"};
 
 //! Follows the parser without keeping anything; stops it at inputs nested too deeply, on which the
 //! library's recursive parser would use up the stack.
--- a/src/codec/field_names.cpp
+++ b/src/codec/field_names.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 //! The position is the wire form: new names go to the end, and none is taken out.
-constexpr std::array<std::string_view, 70> field_names = {"kind",
+constexpr std::array<std::string_view, 79> field_names = {"kind",
                                                           "from",
                                                           "sequence",
                                                           "versions",
@@ -78,7 +78,16 @@
                                                           "allowances",
                                                           "availability",
                                                           "emergency_digest",
-                                                          "quarantine_digest"};
+                                                          "quarantine_digest",
+                                                          "pieces",
+                                                          "inputs",
+                                                          "result_bytes",
+                                                          "aim_in",
+                                                          "needed_in",
+                                                          "priority",
+                                                          "depth",
+                                                          "results",
+                                                          "retry_after"};
 
 constexpr char first_short_name = '!';
 constexpr char last_printable = '~';
--- a/src/codec/internal/json_messages.h
+++ b/src/codec/internal/json_messages.h
@@ -57,6 +57,16 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(trial_request, number, body, attempt, lasts_at_most)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(trial_reply, generation, number, attempt, granted, quarantined)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(trial_end, body, attempt, died, incarnation)
+NLOHMANN_JSON_SERIALIZE_ENUM(pieces_verdict, {{pieces_verdict::failed, "failed"},
+                                              {pieces_verdict::made, "made"},
+                                              {pieces_verdict::overloaded, "overloaded"},
+                                              {pieces_verdict::input_lost, "input_lost"},
+                                              {pieces_verdict::no_upstream, "no_upstream"}})
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_request, number, pool, request, stage, pieces, key,
+                                   inputs, result_bytes, aim_in, needed_in, priority, depth, zone)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_cancel, pool, number)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_release, pool, results)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_reply, number, verdict, results, zone, retry_after)
 
 void to_json(nlohmann::json& out, const peer_message& message);
 void from_json(const nlohmann::json& in, peer_message& message);
--- a/src/coordination/roster/roster.cpp
+++ b/src/coordination/roster/roster.cpp
@@ -18,7 +18,7 @@
 //! Index of the home among `members`, which must not be empty.
 const member& home_among(std::span<const member> members, std::string_view key) {
     return *std::ranges::max_element(members, {}, [&](const member& one) {
-        return std::pair(detail::rendezvous_weight(one.id, key), one.id);
+        return std::pair(rendezvous_weight(one.id, key), one.id);
     });
 }
 
@@ -38,15 +38,11 @@
 
 }  // namespace
 
-namespace detail {
-
 std::uint64_t rendezvous_weight(const instance_id& id, std::string_view key) {
     const std::uint64_t seed = XXH3_64bits(id.value.data(), id.value.size());
     return XXH3_64bits_withSeed(key.data(), key.size(), seed);
 }
 
-}  // namespace detail
-
 roster_state make_roster(const environment& env, instant now) {
     roster_state state;
     state.self = env.self;
@@ -120,7 +116,7 @@
     }
     std::vector<std::pair<std::uint64_t, const member*>> weights;
     for (const auto& one : state.newest.members) {
-        weights.emplace_back(detail::rendezvous_weight(one.id, key), &one);
+        weights.emplace_back(rendezvous_weight(one.id, key), &one);
     }
     std::ranges::sort(weights, [](const auto& left, const auto& right) {
         return std::pair(left.first, left.second->id) > std::pair(right.first, right.second->id);
--- a/src/coordination/roster/roster.h
+++ b/src/coordination/roster/roster.h
@@ -144,11 +144,7 @@
 //! over, or the store couldn't be reached for a few seconds.
 bool has_left(const roster_state& state, const environment& env, instant now);
 
-namespace detail {
-
 //! Weight of a member for a key; the highest wins. XXH3-64 over id and key.
 std::uint64_t rendezvous_weight(const instance_id& id, std::string_view key);
 
-}  // namespace detail
-
 }  // namespace cyclamenmount
--- /dev/null
+++ b/src/decision_log/decision_log.cpp
@@ -0,0 +1,97 @@
+#include "decision_log/decision_log.h"
+
+#include <algorithm>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace cyclamenmount {
+
+namespace {
+
+//! A pipe that is ready takes this much without blocking (PIPE_BUF).
+constexpr std::size_t write_bytes = 4096;
+constexpr double ms_per_second = 1000;
+
+bool needs_quotes(std::string_view value) {
+    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+}
+
+bool is_ready(int descriptor) {
+    pollfd watched{descriptor, POLLOUT, 0};
+    return poll(&watched, 1, 0) == 1 && (watched.revents & POLLOUT) != 0;
+}
+
+}  // namespace
+
+log_entry& log_entry::add(std::string_view name, std::string_view value) {
+    text_.append(" ").append(name).append("=");
+    if (!needs_quotes(value)) {
+        text_.append(value);
+        return *this;
+    }
+    text_ += '"';
+    for (const char c : value) {
+        if (c == '"' || c == '\\') {
+            text_ += '\\';
+        }
+        text_ += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+    }
+    text_ += '"';
+    return *this;
+}
+
+log_entry& log_entry::add(std::string_view name, std::int64_t value) {
+    text_.append(" ").append(name).append("=").append(std::to_string(value));
+    return *this;
+}
+
+log_entry& log_entry::add(std::string_view name, milliseconds value) {
+    return add(name, static_cast<std::int64_t>(value.count()));
+}
+
+bool decision_log::take_allowance(instant now) {
+    const auto passed = static_cast<double>((now - filled_at_).count()) / ms_per_second;
+    allowance_ = std::min(settings_.burst, allowance_ + passed * settings_.lines_per_second);
+    filled_at_ = now;
+    if (allowance_ < 1) {
+        return false;
+    }
+    allowance_ -= 1;
+    return true;
+}
+
+void decision_log::write(const log_entry& entry) {
+    const std::lock_guard lock(mutex_);
+    const bool has_room = waiting_.size() + entry.text().size() < settings_.most_bytes;
+    if (!has_room || !take_allowance(boot_clock::now())) {
+        ++dropped_;
+        return;
+    }
+    if (dropped_ != dropped_told_) {
+        waiting_.append("log_dropped lines=").append(std::to_string(dropped_ - dropped_told_));
+        waiting_ += '\n';
+        dropped_told_ = dropped_;
+    }
+    waiting_.append(entry.text());
+    waiting_ += '\n';
+}
+
+void decision_log::flush() {
+    const std::lock_guard lock(mutex_);
+    while (!waiting_.empty() && is_ready(settings_.descriptor)) {
+        const auto count =
+            ::write(settings_.descriptor, waiting_.data(), std::min(waiting_.size(), write_bytes));
+        if (count <= 0) {
+            return;
+        }
+        waiting_.erase(0, static_cast<std::size_t>(count));
+    }
+}
+
+std::uint64_t decision_log::dropped() const {
+    const std::lock_guard lock(mutex_);
+    return dropped_;
+}
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/packing/desk.cpp
@@ -0,0 +1,343 @@
+#include "packing/desk.h"
+
+#include "coordination/roster/roster.h"
+#include "types/overloaded.h"
+
+#include <algorithm>
+
+namespace cyclamenmount {
+
+namespace {
+
+using desk_effects = std::vector<desk_effect>;
+
+//! A home that owes answers is pinged this often; two lost pings and a late one don't make it
+//! silent.
+constexpr milliseconds ping_period{200};
+//! A home without an answer for this long is passed over; a stage call takes 250 ms, so a request
+//! can still be served through the next home.
+constexpr milliseconds silence{650};
+//! How long a silent peer is passed over before it is tried again.
+constexpr milliseconds passed_over{2500};
+
+const member* find_member(const desk& state, const instance_id& id) {
+    if (!state.view) {
+        return nullptr;
+    }
+    const auto found = std::ranges::find(state.view->members, id, &member::id);
+    return found == state.view->members.end() ? nullptr : &*found;
+}
+
+bool is_self(const desk& state, const member& who) {
+    return who.id == state.self.id;
+}
+
+milliseconds time_until(instant then, instant now) {
+    return std::chrono::duration_cast<milliseconds>(then - now);
+}
+
+pieces_request to_message(const outstanding_order& placed, instant now) {
+    const piece_order& order = placed.order;
+    pieces_request message;
+    message.number = order.id.number;
+    message.pool = placed.pool;
+    message.request = order.request;
+    message.stage = order.stage;
+    message.pieces = order.pieces;
+    message.key = order.key;
+    if (order.inputs) {
+        message.inputs = *order.inputs;
+    }
+    message.result_bytes = order.result_bytes;
+    message.aim_in = time_until(order.aim, now);
+    message.needed_in = time_until(order.needed_by, now);
+    message.priority = order.priority;
+    message.depth = order.depth;
+    message.zone = order.zone;
+    return message;
+}
+
+piece_order from_message(const pieces_request& message, const instance_id& asker, instant now) {
+    piece_order order;
+    order.id = {asker, message.number};
+    order.request = message.request;
+    order.stage = message.stage;
+    order.pieces = message.pieces;
+    order.key = message.key;
+    if (!message.inputs.empty()) {
+        order.inputs = std::make_shared<const std::vector<std::string>>(message.inputs);
+    }
+    order.result_bytes = message.result_bytes;
+    order.aim = now + message.aim_in;
+    order.needed_by = now + message.needed_in;
+    order.priority = message.priority;
+    order.depth = message.depth;
+    order.zone = message.zone;
+    return order;
+}
+
+void end_order(desk& state, std::uint64_t number, pieces_reply reply, desk_effects& out) {
+    if (state.outstanding.erase(number) != 0) {
+        reply.number = number;
+        out.push_back(pieces_ended{number, std::move(reply)});
+    }
+}
+
+//! Answers whoever placed the order: this instance or a peer.
+void reply_to(desk& state, const order_id& id, pieces_reply reply, desk_effects& out) {
+    if (id.asker == state.self.id) {
+        end_order(state, id.number, std::move(reply), out);
+        return;
+    }
+    const auto asker = state.askers.find(id.asker);
+    if (asker != state.askers.end()) {
+        reply.number = id.number;
+        out.push_back(send_to_peer{asker->second, std::move(reply)});
+    }
+}
+
+void run_packer(desk& state, const pool_name& pool, const packer_event& happened, instant now,
+                desk_effects& out) {
+    for (packer_effect& effect : reduce(state.packers[pool], happened, now)) {
+        std::visit(overloaded{
+                       [&](make_call& call) {
+                           out.push_back(call_stage{pool, std::move(call)});
+                       },
+                       [&](release_results& unused) { out.push_back(std::move(unused)); },
+                       [&](order_made& made) {
+                           pieces_reply reply;
+                           reply.verdict = pieces_verdict::made;
+                           reply.results = std::move(made.results);
+                           reply.zone = made.zone;
+                           reply_to(state, made.id, std::move(reply), out);
+                       },
+                       [&](order_refused& refused) {
+                           pieces_reply reply;
+                           reply.verdict = refused.why;
+                           reply.retry_after = refused.retry_after;
+                           reply_to(state, refused.id, std::move(reply), out);
+                       },
+                   },
+                   effect);
+    }
+}
+
+void place(desk& state, std::uint64_t number, instant now, desk_effects& out) {
+    outstanding_order& placed = state.outstanding.at(number);
+    placed.home = home_of(state, placed.pool, now);
+    if (is_self(state, placed.home)) {
+        // Copied: the packer may end the order at once.
+        const order_placed order{placed.order};
+        const pool_name pool = placed.pool;
+        run_packer(state, pool, order, now, out);
+        return;
+    }
+    out.push_back(send_to_peer{placed.home, to_message(placed, now)});
+}
+
+void abandon(desk& state, std::uint64_t number, instant now, desk_effects& out) {
+    const auto found = state.outstanding.find(number);
+    if (found == state.outstanding.end()) {
+        return;
+    }
+    const outstanding_order placed = found->second;
+    state.outstanding.erase(found);
+    if (is_self(state, placed.home)) {
+        run_packer(state, placed.pool, order_cancelled{placed.order.id}, now, out);
+        return;
+    }
+    out.push_back(send_to_peer{placed.home, pieces_cancel{placed.pool, number}});
+}
+
+void release(desk& state, const results_unused& unused, instant now, desk_effects& out) {
+    const member home = home_of(state, unused.pool, now);
+    if (is_self(state, home)) {
+        run_packer(state, unused.pool, results_released{unused.results}, now, out);
+        return;
+    }
+    out.push_back(send_to_peer{home, pieces_release{unused.pool, unused.results}});
+}
+
+void take_view(desk& state, const fleet_view_ptr& view, instant now, desk_effects& out) {
+    state.view = view;
+    if (!view->lists) {
+        return;
+    }
+    for (const auto& [name, limits] : view->lists->pools) {
+        if (!limits.stage) {
+            continue;
+        }
+        pool_changed changed{*limits.stage, {}};
+        const auto upstreams = view->pools.find(name);
+        if (upstreams != view->pools.end()) {
+            for (const serving_upstream& one : upstreams->second) {
+                changed.upstreams.push_back({one.id, one.address, one.zone});
+            }
+        }
+        run_packer(state, name, changed, now, out);
+    }
+}
+
+//! Places orders again whose home is gone or silent.
+void move_orders(desk& state, instant now, desk_effects& out) {
+    std::vector<std::uint64_t> moved;
+    for (const auto& [number, placed] : state.outstanding) {
+        if (is_self(state, placed.home)) {
+            continue;
+        }
+        const auto health = state.peers.find(placed.home.id);
+        const bool is_silent = health != state.peers.end() && now < health->second.silent_until;
+        if (is_silent || find_member(state, placed.home.id) == nullptr) {
+            moved.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : moved) {
+        place(state, number, now, out);
+    }
+}
+
+void ping_homes(desk& state, instant now, desk_effects& out) {
+    std::map<instance_id, member> homes;
+    for (const auto& [number, placed] : state.outstanding) {
+        if (!is_self(state, placed.home)) {
+            homes[placed.home.id] = placed.home;
+        }
+    }
+    for (const auto& [id, home] : homes) {
+        peer_health& health = state.peers[id];
+        if (health.asked_at != instant{} && now - health.asked_at >= silence) {
+            out.push_back(peer_judged{home, true, time_until(now, health.asked_at)});
+            health.silent_until = now + passed_over;
+            health.asked_at = {};
+            continue;
+        }
+        if (now - health.pinged_at >= ping_period) {
+            ping asked;
+            asked.from = state.self;
+            asked.sequence = ++health.sequence;
+            out.push_back(send_to_peer{home, asked});
+            health.pinged_at = now;
+            if (health.asked_at == instant{}) {
+                health.asked_at = now;
+            }
+        }
+    }
+}
+
+void hear(desk& state, const instance_id& from, desk_effects& out) {
+    const auto found = state.peers.find(from);
+    if (found == state.peers.end()) {
+        return;
+    }
+    found->second.asked_at = {};
+    if (found->second.silent_until != instant{}) {
+        found->second.silent_until = {};
+        if (const member* const peer = find_member(state, from)) {
+            out.push_back(peer_judged{*peer, false, 0ms});
+        }
+    }
+}
+
+void on_message(desk& state, const peer_said& said, instant now, desk_effects& out) {
+    hear(state, said.from, out);
+    if (const member* const known = find_member(state, said.from)) {
+        state.askers[said.from] = *known;
+    }
+    std::visit(overloaded{
+                   [&](const ping& asked) {
+                       state.askers[said.from] = asked.from;
+                       pong answered;
+                       answered.sequence = asked.sequence;
+                       out.push_back(send_to_peer{asked.from, answered});
+                   },
+                   [&](const pieces_request& wanted) {
+                       if (wanted.pieces > 0) {
+                           run_packer(state, wanted.pool,
+                                      order_placed{from_message(wanted, said.from, now)}, now, out);
+                       }
+                   },
+                   [&](const pieces_cancel& cancelled) {
+                       run_packer(state, cancelled.pool,
+                                  order_cancelled{{said.from, cancelled.number}}, now, out);
+                   },
+                   [&](const pieces_release& unused) {
+                       run_packer(state, unused.pool, results_released{unused.results}, now, out);
+                   },
+                   [&](const pieces_reply& reply) { end_order(state, reply.number, reply, out); },
+                   [](const auto& /*other*/) {},
+               },
+               said.message);
+}
+
+void pass_time(desk& state, instant now, desk_effects& out) {
+    ping_homes(state, now, out);
+    std::vector<pool_name> busy;
+    for (const auto& [name, one] : state.packers) {
+        if (!one.orders.empty() || !one.calls.empty()) {
+            busy.push_back(name);
+        }
+    }
+    for (const pool_name& name : busy) {
+        run_packer(state, name, packer_tick{}, now, out);
+    }
+    std::vector<std::uint64_t> expired;
+    for (const auto& [number, placed] : state.outstanding) {
+        if (now > placed.order.needed_by && !is_self(state, placed.home)) {
+            expired.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : expired) {
+        pieces_reply reply;
+        reply.verdict = pieces_verdict::overloaded;
+        end_order(state, number, std::move(reply), out);
+    }
+}
+
+}  // namespace
+
+member home_of(const desk& state, const pool_name& pool, instant now) {
+    const member* home = nullptr;
+    std::uint64_t highest = 0;
+    if (state.view) {
+        for (const member& one : state.view->members) {
+            const auto health = state.peers.find(one.id);
+            const bool is_silent = health != state.peers.end() && now < health->second.silent_until;
+            if (is_silent || (state.is_leaving && is_self(state, one))) {
+                continue;
+            }
+            const auto weight = rendezvous_weight(one.id, pool.value);
+            if (home == nullptr || weight > highest) {
+                home = &one;
+                highest = weight;
+            }
+        }
+    }
+    return home == nullptr ? state.self : *home;
+}
+
+std::vector<desk_effect> reduce(desk& state, const desk_event& happened, instant now) {
+    desk_effects out;
+    std::visit(
+        overloaded{
+            [&](const view_changed& one) { take_view(state, one.view, now, out); },
+            [&](const pieces_wanted& one) {
+                const auto number = one.order.id.number;
+                state.outstanding[number] = {one.pool, one.order, {}};
+                place(state, number, now, out);
+            },
+            [&](const pieces_abandoned& one) { abandon(state, one.number, now, out); },
+            [&](const results_unused& one) { release(state, one, now, out); },
+            [&](const peer_said& one) { on_message(state, one, now, out); },
+            [&](const stage_call_answered& one) {
+                run_packer(state, one.pool, one.value, now, out);
+            },
+            [&](const stage_call_failed& one) { run_packer(state, one.pool, one.value, now, out); },
+            [&](const desk_leaving&) { state.is_leaving = true; },
+            [&](const desk_tick&) { pass_time(state, now, out); },
+        },
+        happened);
+    move_orders(state, now, out);
+    return out;
+}
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/packing/desk.h
@@ -0,0 +1,113 @@
+//! One instance's side of packing: where it sends its orders, and what it packs for others.
+//!
+//! The home of a pool is the live member with the highest rendezvous weight. Instances may disagree
+//! on who is live, so a pool can have two packers for a while; pieces may be made twice, and an
+//! upstream refuses a call that it has no place for. Orders at a home that falls silent are placed
+//! again at the next.
+#pragma once
+
+#include "packing/packer.h"
+#include "serving/types/fleet_view.h"
+#include "types/effects.h"
+
+namespace cyclamenmount {
+
+// --- events -------------------------------------------------------------------------------------
+
+struct view_changed {
+    fleet_view_ptr view;
+};
+
+//! `order.id` is drawn by the desk's user: this instance and a number not used before.
+struct pieces_wanted {
+    pool_name pool;
+    piece_order order;
+};
+
+struct pieces_abandoned {
+    std::uint64_t number{0};
+};
+
+struct results_unused {
+    pool_name pool;
+    std::vector<std::string> results;
+};
+
+struct peer_said {
+    instance_id from;
+    peer_message message;
+};
+
+struct stage_call_answered {
+    pool_name pool;
+    call_answered value;
+};
+
+struct stage_call_failed {
+    pool_name pool;
+    call_failed value;
+};
+
+//! This instance stops: it places its orders elsewhere if it can.
+struct desk_leaving {};
+
+struct desk_tick {};
+
+using desk_event =
+    std::variant<view_changed, pieces_wanted, pieces_abandoned, results_unused, peer_said,
+                 stage_call_answered, stage_call_failed, desk_leaving, desk_tick>;
+
+// --- effects ------------------------------------------------------------------------------------
+
+struct call_stage {
+    pool_name pool;
+    make_call call;
+};
+
+//! The order with this number has ended.
+struct pieces_ended {
+    std::uint64_t number{0};
+    pieces_reply reply;
+};
+
+//! A peer was found silent or is heard again.
+struct peer_judged {
+    member peer;
+    bool is_silent{false};
+    milliseconds unheard{0};
+};
+
+using desk_effect =
+    std::variant<call_stage, release_results, pieces_ended, send_to_peer, peer_judged>;
+
+// --- state --------------------------------------------------------------------------------------
+
+struct peer_health {
+    instant asked_at{};  //!< first ping without an answer; zero if none is open
+    instant pinged_at{};
+    instant silent_until{};
+    std::uint64_t sequence{0};
+};
+
+struct outstanding_order {
+    pool_name pool;
+    piece_order order;
+    member home;  //!< this instance if it packs itself
+};
+
+struct desk {
+    member self;
+    bool is_leaving{false};
+    fleet_view_ptr view;
+    std::map<instance_id, peer_health> peers;
+    std::map<instance_id, member> askers;  //!< where to answer
+    std::map<pool_name, packer> packers;
+    std::map<std::uint64_t, outstanding_order> outstanding;
+};
+
+std::vector<desk_effect> reduce(desk& state, const desk_event& happened, instant now);
+
+//! The member that packs for `pool`, as this instance sees it; itself if it knows no other.
+member home_of(const desk& state, const pool_name& pool, instant now);
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/packing/tests/desk_tests.cpp
@@ -0,0 +1,171 @@
+//! Several instances' desks and what they send each other, on a fake clock.
+#include "packing/desk.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cyclamenmount;
+
+namespace {
+
+constexpr instant start{milliseconds(1'000'000)};
+const pool_name pool{"p"};
+
+member make_member(const std::string& id) {
+    return {{id}, id + ":7", {"z1"}};
+}
+
+fleet_view_ptr make_view(std::vector<member> members) {
+    auto lists = std::make_shared<catalogue>();
+    pool_limits limits;
+    limits.name = pool;
+    limits.stage = stage_limits{8, 150, 16, 36, 4000ms};
+    lists->pools[pool] = limits;
+    auto view = std::make_shared<fleet_view>();
+    view->lists = lists;
+    serving_upstream upstream;
+    upstream.id = {"u1"};
+    upstream.pool = pool;
+    upstream.address = "u1:80";
+    view->pools[pool] = {upstream};
+    view->members = std::move(members);
+    return view;
+}
+
+desk make_desk(const std::string& self, const fleet_view_ptr& view) {
+    desk state;
+    state.self = make_member(self);
+    reduce(state, view_changed{view}, start);
+    return state;
+}
+
+pieces_wanted make_wanted(const desk& state, std::uint64_t number) {
+    piece_order order;
+    order.id = {state.self.id, number};
+    order.request = "r";
+    order.pieces = 2;
+    order.key = "k";
+    order.aim = start + 1s;
+    order.needed_by = start + 5s;
+    return {pool, order};
+}
+
+template <typename Effect>
+std::vector<Effect> all_of(const std::vector<desk_effect>& effects) {
+    std::vector<Effect> found;
+    for (const desk_effect& one : effects) {
+        if (const auto* const effect = std::get_if<Effect>(&one)) {
+            found.push_back(*effect);
+        }
+    }
+    return found;
+}
+
+call_answered make_answer(const call_stage& wanted) {
+    call_answered answered{wanted.call.call, {}};
+    for (std::size_t i = 0; i < wanted.call.items.size(); ++i) {
+        answered.outcomes.push_back({piece_status::made, "u1:80/" + std::to_string(i)});
+    }
+    return answered;
+}
+
+}  // namespace
+
+TEST_GROUP(desk){};
+
+TEST(desk, two_instances_send_their_orders_to_one_packer) {
+    // GIVEN two instances that know each other
+    const auto view = make_view({make_member("a"), make_member("b")});
+    desk a = make_desk("a", view);
+    desk b = make_desk("b", view);
+    const member home = home_of(a, pool, start);
+    CHECK_TRUE(home == home_of(b, pool, start));
+    desk& packs = home.id.value == "a" ? a : b;
+    desk& asks = home.id.value == "a" ? b : a;
+    // WHEN the other one orders pieces
+    const auto sent = all_of<send_to_peer>(reduce(asks, make_wanted(asks, 1), start));
+    LONGS_EQUAL(1, sent.size());
+    const auto calls =
+        all_of<call_stage>(reduce(packs, peer_said{asks.self.id, sent[0].message}, start));
+    LONGS_EQUAL(1, calls.size());
+    const auto replies = all_of<send_to_peer>(
+        reduce(packs, stage_call_answered{pool, make_answer(calls[0])}, start + 182ms));
+    // THEN the home calls, and its reply ends the order with the results
+    const auto ended = all_of<pieces_ended>(
+        reduce(asks, peer_said{packs.self.id, replies.at(0).message}, start + 183ms));
+    LONGS_EQUAL(1, ended.size());
+    CHECK_TRUE(ended[0].reply.verdict == pieces_verdict::made);
+    LONGS_EQUAL(2, ended[0].reply.results.size());
+}
+
+TEST(desk, an_instance_that_knows_nobody_packs_for_itself) {
+    // GIVEN an instance that the store hasn't told of any member
+    desk alone = make_desk("a", make_view({}));
+    // WHEN it orders pieces
+    const auto calls = all_of<call_stage>(reduce(alone, make_wanted(alone, 1), start));
+    // THEN it makes the call
+    LONGS_EQUAL(1, calls.size());
+}
+
+TEST(desk, orders_at_a_silent_home_are_placed_again) {
+    // GIVEN an order at a home that has just frozen
+    const auto view = make_view({make_member("a"), make_member("b")});
+    desk any = make_desk("a", view);
+    const std::string other = home_of(any, pool, start).id.value == "a" ? "b" : "a";
+    desk asks = make_desk(other, view);
+    reduce(asks, make_wanted(asks, 1), start);
+    // WHEN it doesn't answer pings
+    std::vector<desk_effect> effects;
+    instant now = start;
+    while (all_of<peer_judged>(effects).empty() && now < start + 2s) {
+        now += 50ms;
+        effects = reduce(asks, desk_tick{}, now);
+    }
+    // THEN within 0.8 s it counts as silent, and the next home, here this instance, calls
+    CHECK_TRUE(now <= start + 800ms);
+    CHECK_TRUE(all_of<peer_judged>(effects).at(0).is_silent);
+    LONGS_EQUAL(1, all_of<call_stage>(effects).size());
+}
+
+TEST(desk, a_home_that_answers_pings_keeps_its_orders) {
+    // GIVEN an order that takes long at a living home
+    const auto view = make_view({make_member("a"), make_member("b")});
+    desk any = make_desk("a", view);
+    const member home = home_of(any, pool, start);
+    desk asks = make_desk(home.id.value == "a" ? "b" : "a", view);
+    reduce(asks, make_wanted(asks, 1), start);
+    // WHEN it answers each ping
+    for (instant now = start; now < start + 3s; now += 50ms) {
+        const auto effects = reduce(asks, desk_tick{}, now);
+        // THEN it never counts as silent
+        LONGS_EQUAL(0, all_of<peer_judged>(effects).size());
+        for (const send_to_peer& sent : all_of<send_to_peer>(effects)) {
+            if (std::holds_alternative<ping>(sent.message)) {
+                reduce(asks, peer_said{home.id, pong{}}, now + 1ms);
+            }
+        }
+    }
+}
+
+TEST(desk, a_home_that_left_the_list_loses_its_orders) {
+    // GIVEN an order at the other instance
+    const auto view = make_view({make_member("a"), make_member("b")});
+    desk any = make_desk("a", view);
+    desk asks = make_desk(home_of(any, pool, start).id.value == "a" ? "b" : "a", view);
+    reduce(asks, make_wanted(asks, 1), start);
+    // WHEN the store's list has only this one left
+    const auto effects = reduce(asks, view_changed{make_view({asks.self})}, start + 100ms);
+    // THEN it packs itself
+    LONGS_EQUAL(1, all_of<call_stage>(effects).size());
+}
+
+TEST(desk, an_abandoned_order_is_cancelled_at_its_home) {
+    // GIVEN an order at the other instance
+    const auto view = make_view({make_member("a"), make_member("b")});
+    desk any = make_desk("a", view);
+    desk asks = make_desk(home_of(any, pool, start).id.value == "a" ? "b" : "a", view);
+    reduce(asks, make_wanted(asks, 1), start);
+    // WHEN its caller leaves
+    const auto sent = all_of<send_to_peer>(reduce(asks, pieces_abandoned{1}, start + 10ms));
+    // THEN the home is told
+    CHECK_TRUE(std::holds_alternative<pieces_cancel>(sent.at(0).message));
+}
--- a/src/pipeline/pipeline.h
+++ b/src/pipeline/pipeline.h
@@ -3,7 +3,7 @@
 
 #include "control/client.h"
 #include "pipeline/answer.h"
-#include "pipeline/retry_budget.h"
+#include "retry_budget/retry_budget.h"
 #include "upstreams/upstream_client.h"
 
 namespace cyclamenmount {
--- a/src/pipeline/tests/answer_store_tests.cpp
+++ b/src/pipeline/tests/answer_store_tests.cpp
@@ -1,7 +1,7 @@
 // Kept answers and the budget of repeats.
 #include "pipeline/answer_store.h"
 #include "pipeline/problem.h"
-#include "pipeline/retry_budget.h"
+#include "retry_budget/retry_budget.h"
 
 #include <CppUTest/TestHarness.h>
 
--- /dev/null
+++ b/src/placement/tests/placement_tests.cpp
@@ -0,0 +1,163 @@
+#include "placement/placement.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cyclamenmount;
+
+namespace {
+
+constexpr instant start{milliseconds(1'000'000)};
+const pool_name pool{"p"};
+
+serving_upstream make_upstream(const std::string& id, const std::string& zone, int slots = 8) {
+    serving_upstream one;
+    one.id = {id};
+    one.pool = pool;
+    one.zone = {zone};
+    one.slots = slots;
+    return one;
+}
+
+fleet_view make_view(std::vector<serving_upstream> upstreams, std::size_t instances = 2) {
+    auto lists = std::make_shared<catalogue>();
+    pool_limits limits;
+    limits.name = pool;
+    limits.cold_per_second = 9.3;
+    limits.max_connections = 100;
+    lists->pools[pool] = limits;
+    fleet_view view;
+    view.lists = lists;
+    view.pools[pool] = std::move(upstreams);
+    view.members.resize(instances);
+    return view;
+}
+
+const std::vector<prompt_part> prompt{{"system", 2500}, {"subject", 3800}, {"own", 900}};
+
+placement_wanted make_wanted(bool with_prompt) {
+    placement_wanted wanted;
+    wanted.pool = pool;
+    if (with_prompt) {
+        wanted.prompt = prompt;
+    }
+    return wanted;
+}
+
+}  // namespace
+
+TEST_GROUP(placement){};
+
+TEST(placement, prompts_with_the_same_shared_part_go_to_one_engine) {
+    // GIVEN three engines
+    placement_state state;
+    const fleet_view view =
+        make_view({make_upstream("a", "z1"), make_upstream("b", "z1"), make_upstream("c", "z2")});
+    const auto first = place(state, view, make_wanted(true), start);
+    // WHEN more prompts with the same shared part come
+    for (int i = 0; i < 5; ++i) {
+        const auto next = place(state, view, make_wanted(true), start);
+        // THEN they go where it is cached
+        CHECK_TRUE(next->id == first->id);
+    }
+    CHECK_TRUE(preferred_zone(state, view, make_wanted(true), start) == first->zone);
+}
+
+TEST(placement, a_busy_engine_is_left_for_another) {
+    // GIVEN the preferred engine with all its places taken
+    placement_state state;
+    const fleet_view view = make_view({make_upstream("a", "z1"), make_upstream("b", "z1")});
+    const auto first = place(state, view, make_wanted(true), start);
+    note_load(state, first->id, {8, 3, 8}, start);
+    // WHEN another prompt comes
+    const auto next = place(state, view, make_wanted(true), start);
+    // THEN the other engine takes it
+    CHECK_TRUE(next->id != first->id);
+    // WHEN the report is old
+    const auto later = place(state, view, make_wanted(true), start + 2s);
+    // THEN it no longer counts
+    CHECK_TRUE(later->id == first->id);
+}
+
+TEST(placement, an_upstream_that_broke_a_request_is_avoided_for_a_while) {
+    // GIVEN two upstreams, one of which broke a request
+    placement_state state;
+    const fleet_view view = make_view({make_upstream("a", "z1"), make_upstream("b", "z1")});
+    note_sent(state, view.pools.at(pool)[0], 0, start);
+    note_ended(state, {"a"}, sent_end::broken, start);
+    // WHEN requests are placed soon after
+    for (std::uint64_t draw = 0; draw < 20; ++draw) {
+        placement_wanted wanted = make_wanted(false);
+        wanted.random = draw * 0x9e3779b97f4a7c15U;
+        // THEN the other one gets them
+        STRCMP_EQUAL("b", place(state, view, wanted, start + 100ms)->id.value.c_str());
+    }
+    // AND it is tried again if nothing else is left
+    placement_wanted last = make_wanted(false);
+    last.excluded = {{"b"}};
+    CHECK_TRUE(place(state, view, last, start + 100ms).has_value());
+}
+
+TEST(placement, an_upstream_that_fails_much_more_than_the_others_is_avoided) {
+    // GIVEN one of three upstreams failing all its requests while the others fail few
+    placement_state state;
+    const fleet_view view =
+        make_view({make_upstream("a", "z1"), make_upstream("b", "z1"), make_upstream("c", "z1")});
+    for (int i = 0; i < 20; ++i) {
+        note_ended(state, {"a"}, sent_end::error, start);
+        note_ended(state, {"b"}, sent_end::answered, start);
+        note_ended(state, {"c"}, sent_end::answered, start);
+        note_ended(state, {"b"}, sent_end::answered, start);
+        note_ended(state, {"c"}, sent_end::answered, start);
+    }
+    // WHEN requests are placed
+    for (std::uint64_t draw = 0; draw < 20; ++draw) {
+        placement_wanted wanted = make_wanted(false);
+        wanted.random = draw * 0x9e3779b97f4a7c15U;
+        // THEN it gets none
+        CHECK_TRUE(place(state, view, wanted, start)->id.value != "a");
+    }
+}
+
+TEST(placement, cold_upstreams_get_work_only_without_warm_ones_and_at_their_rate) {
+    // GIVEN one cold upstream that tolerates 9.3 x 1.5 + 5 = 18 requests a second, and 2 instances
+    placement_state state;
+    serving_upstream cold = make_upstream("cold", "z1", 64);
+    cold.cold_until = start + 3s;
+    const fleet_view alone = make_view({cold});
+    const fleet_view with_warm = make_view({cold, make_upstream("warm", "z2")});
+    // WHEN a warm one is there
+    // THEN it is taken
+    STRCMP_EQUAL("warm", place(state, with_warm, make_wanted(false), start)->id.value.c_str());
+    // WHEN there is none
+    int sent = 0;
+    for (int i = 0; i < 30; ++i) {
+        if (const auto chosen = place(state, alone, make_wanted(false), start)) {
+            note_sent(state, *chosen, 0, start);
+            ++sent;
+        }
+    }
+    // THEN this instance sends half of what both may send together
+    LONGS_EQUAL(9, sent);
+    // AND again after a second
+    CHECK_TRUE(place(state, alone, make_wanted(false), start + 1001ms).has_value());
+}
+
+TEST(placement, large_results_keep_a_request_in_their_zone) {
+    // GIVEN engines in two zones
+    placement_state state;
+    const fleet_view view = make_view({make_upstream("a", "z1"), make_upstream("b", "z2")});
+    // WHEN a request must stay in a zone
+    for (const char* zone : {"z1", "z2"}) {
+        placement_wanted wanted = make_wanted(true);
+        wanted.zone = {zone};
+        wanted.must_stay_in_zone = true;
+        // THEN it does
+        STRCMP_EQUAL(zone, place(state, view, wanted, start)->zone.value.c_str());
+    }
+    // AND it leaves it only if nothing there can take it
+    placement_wanted wanted = make_wanted(true);
+    wanted.zone = {"z1"};
+    wanted.must_stay_in_zone = true;
+    wanted.excluded = {{"a"}};
+    STRCMP_EQUAL("z2", place(state, view, wanted, start)->zone.value.c_str());
+}
--- a/src/pipeline/retry_budget.cpp
+++ b/src/retry_budget/retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "pipeline/retry_budget.h"
+#include "retry_budget/retry_budget.h"
 
 #include <algorithm>
 
--- /dev/null
+++ b/src/serving/admission.cpp
@@ -0,0 +1,51 @@
+#include "serving/admission.h"
+
+#include "serving/catalogue.h"
+
+namespace cyclamenmount {
+
+namespace {
+
+//! The store answers again, or a peer brings the news, within about this time.
+constexpr milliseconds unknown_retry_after{300};
+
+refusal refuse(refusal_reason reason, std::string detail, milliseconds retry_after = 0ms) {
+    return {reason, execution::not_run, std::move(detail), "", retry_after};
+}
+
+refusal refuse_unknown(const fleet_view& view, refusal_reason reason, std::string detail) {
+    if (!view.is_store_reached) {
+        return refuse(refusal_reason::not_ready, "the configuration may be out of date",
+                      unknown_retry_after);
+    }
+    return refuse(reason, std::move(detail));
+}
+
+}  // namespace
+
+decided<admitted_request> admit(const fleet_view& view, const request_target& target) {
+    if (!view.lists) {
+        return refuse(refusal_reason::not_ready, "no configuration yet", unknown_retry_after);
+    }
+    admitted_request admitted;
+    admitted.lists = view.lists;
+    admitted.matched = find_route(*view.lists, target.host, target.path);
+    if (admitted.matched == nullptr) {
+        return refuse_unknown(view, refusal_reason::unknown_target, "no such route");
+    }
+    admitted.priority = admitted.matched->priority;
+    if (!view.lists->has_workspaces) {
+        return admitted;
+    }
+    const serving_workspace* const workspace = find_workspace(*view.lists, target.key);
+    if (workspace == nullptr && !admitted.matched->is_public) {
+        return refuse_unknown(view, refusal_reason::unauthenticated, "unknown key");
+    }
+    if (workspace != nullptr) {
+        admitted.workspace = workspace->name;
+        admitted.priority = workspace->priority.value_or(admitted.priority);
+    }
+    return admitted;
+}
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/serving/stage_chain.cpp
@@ -0,0 +1,136 @@
+#include "serving/stage_chain.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cyclamenmount {
+
+namespace {
+
+//! Time of one call that makes all pieces of the stage, or a full call if there are more.
+double call_time_ms(const chain_stage& stage, const catalogue& lists) {
+    const auto pool = lists.pools.find(stage.pool);
+    if (stage.pieces == 0 || pool == lists.pools.end() || !pool->second.stage) {
+        return 0;
+    }
+    const stage_limits& limits = *pool->second.stage;
+    return limits.call_ms + limits.piece_ms * std::min(stage.pieces, limits.batch);
+}
+
+bool is_done(const chain_stage& stage) {
+    return stage.state == stage_state::made || stage.pieces == 0;
+}
+
+bool follows(const chain_stage& later, std::size_t earlier) {
+    return std::find(later.after.begin(), later.after.end(), earlier) != later.after.end();
+}
+
+//! Longest way from `stage` to the end, `stage` included. Stages only come after earlier ones.
+double way_from(const stage_chain& chain, std::size_t stage, const catalogue& lists) {
+    double longest = 0;
+    for (std::size_t later = stage + 1; later < chain.stages.size(); ++later) {
+        if (follows(chain.stages[later], stage)) {
+            longest = std::max(longest, way_from(chain, later, lists));
+        }
+    }
+    const chain_stage& here = chain.stages[stage];
+    return longest + (is_done(here) ? 0 : call_time_ms(here, lists));
+}
+
+}  // namespace
+
+stage_chain make_stage_chain(const route& from, std::span<const int> pieces) {
+    stage_chain chain;
+    for (std::size_t i = 0; i < from.stages.size(); ++i) {
+        const route_stage& stage = from.stages[i];
+        const int count = i < pieces.size() ? std::max(pieces[i], 0) : 0;
+        chain.stages.push_back({stage.pool, stage.after, count, stage.result_bytes, {}, {}, {}});
+    }
+    return chain;
+}
+
+std::vector<std::size_t> startable_stages(const stage_chain& chain) {
+    std::vector<std::size_t> startable;
+    for (std::size_t i = 0; i < chain.stages.size(); ++i) {
+        const chain_stage& stage = chain.stages[i];
+        const bool has_inputs =
+            std::all_of(stage.after.begin(), stage.after.end(),
+                        [&](std::size_t earlier) { return is_done(chain.stages[earlier]); });
+        if (stage.state == stage_state::waiting && stage.pieces > 0 && has_inputs) {
+            startable.push_back(i);
+        }
+    }
+    return startable;
+}
+
+std::vector<std::string> inputs_of(const stage_chain& chain, std::size_t stage) {
+    std::vector<std::string> inputs;
+    for (const std::size_t earlier : chain.stages[stage].after) {
+        const auto& results = chain.stages[earlier].results;
+        inputs.insert(inputs.end(), results.begin(), results.end());
+    }
+    return inputs;
+}
+
+bool is_complete(const stage_chain& chain) {
+    return std::all_of(chain.stages.begin(), chain.stages.end(), is_done);
+}
+
+std::vector<std::string> final_results(const stage_chain& chain) {
+    std::vector<std::string> results;
+    for (std::size_t i = 0; i < chain.stages.size(); ++i) {
+        const bool is_last =
+            std::none_of(chain.stages.begin(), chain.stages.end(),
+                         [&](const chain_stage& later) { return follows(later, i); });
+        if (is_last) {
+            const auto& made = chain.stages[i].results;
+            results.insert(results.end(), made.begin(), made.end());
+        }
+    }
+    return results;
+}
+
+std::vector<std::string> all_results(const stage_chain& chain) {
+    std::vector<std::string> results;
+    for (const chain_stage& stage : chain.stages) {
+        results.insert(results.end(), stage.results.begin(), stage.results.end());
+    }
+    return results;
+}
+
+void restart(stage_chain& chain) {
+    for (chain_stage& stage : chain.stages) {
+        stage.state = stage_state::waiting;
+        stage.results.clear();
+        stage.zone = {};
+    }
+    ++chain.restarts;
+}
+
+milliseconds time_ahead(const stage_chain& chain, const catalogue& lists) {
+    double longest = 0;
+    for (std::size_t i = 0; i < chain.stages.size(); ++i) {
+        longest = std::max(longest, way_from(chain, i, lists));
+    }
+    return milliseconds(std::lround(longest));
+}
+
+milliseconds time_after(const stage_chain& chain, std::size_t stage, const catalogue& lists) {
+    double longest = 0;
+    for (std::size_t later = stage + 1; later < chain.stages.size(); ++later) {
+        if (follows(chain.stages[later], stage)) {
+            longest = std::max(longest, way_from(chain, later, lists));
+        }
+    }
+    return milliseconds(std::lround(longest));
+}
+
+int depth_of(const stage_chain& chain, std::size_t stage) {
+    int deepest = 0;
+    for (const std::size_t earlier : chain.stages[stage].after) {
+        deepest = std::max(deepest, depth_of(chain, earlier) + 1);
+    }
+    return deepest;
+}
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/serving/stage_chain.h
@@ -0,0 +1,58 @@
+//! The stages of one request: which can start, which inputs they take, what is left to do.
+#pragma once
+
+#include "serving/types/catalogue.h"
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cyclamenmount {
+
+enum class stage_state { waiting, ordered, made };
+
+struct chain_stage {
+    pool_name pool;
+    std::vector<std::size_t> after;
+    int pieces{0};  //!< 0: the stage is left out
+    std::uint64_t result_bytes{0};
+    stage_state state{stage_state::waiting};
+    std::vector<std::string> results;  //!< one handle a piece, in order
+    zone_name zone;                    //!< where the results lie; empty if unknown
+};
+
+struct stage_chain {
+    std::vector<chain_stage> stages;
+    int restarts{0};
+};
+
+//! `pieces` gives the number of pieces of each stage of the route.
+stage_chain make_stage_chain(const route& from, std::span<const int> pieces);
+
+//! Stages that wait and whose inputs are all made.
+std::vector<std::size_t> startable_stages(const stage_chain& chain);
+
+//! Results of all stages that `stage` comes after, in their order.
+std::vector<std::string> inputs_of(const stage_chain& chain, std::size_t stage);
+
+bool is_complete(const stage_chain& chain);
+
+//! Results of the stages that no other stage follows; the request itself takes them.
+std::vector<std::string> final_results(const stage_chain& chain);
+
+//! Every result that has been made, with its size, so that it can be released.
+std::vector<std::string> all_results(const stage_chain& chain);
+
+//! Forgets all results after one of them was lost with its maker.
+void restart(stage_chain& chain);
+
+//! Shortest time that the stages still to be made take one after the other, without any waiting.
+milliseconds time_ahead(const stage_chain& chain, const catalogue& lists);
+
+//! The same for what comes after `stage`, without `stage` itself.
+milliseconds time_after(const stage_chain& chain, std::size_t stage, const catalogue& lists);
+
+//! How many stages the longest way to `stage` has behind it.
+int depth_of(const stage_chain& chain, std::size_t stage);
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/serving/tests/catalogue_tests.cpp
@@ -0,0 +1,60 @@
+#include "serving/catalogue.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cyclamenmount;
+
+namespace {
+
+route make_route(std::string name, std::string host, std::string prefix) {
+    route one;
+    one.name = std::move(name);
+    one.host = std::move(host);
+    one.path_prefix = std::move(prefix);
+    return one;
+}
+
+}  // namespace
+
+TEST_GROUP(catalogue){};
+
+TEST(catalogue, the_longest_prefix_of_the_host_wins) {
+    // GIVEN nested prefixes on one host and the same prefix on another
+    catalogue lists;
+    lists.routes = {make_route("short", "a", "/x/"), make_route("long", "a", "/x/y/"),
+                    make_route("other", "b", "/x/y/")};
+    // WHEN paths are looked up
+    // THEN the longest prefix of that host is found, and nothing for an unknown host or path
+    STRCMP_EQUAL("long", find_route(lists, "a", "/x/y/z")->name.c_str());
+    STRCMP_EQUAL("short", find_route(lists, "a", "/x/z")->name.c_str());
+    STRCMP_EQUAL("other", find_route(lists, "b", "/x/y/")->name.c_str());
+    POINTERS_EQUAL(nullptr, find_route(lists, "a", "/x"));
+    POINTERS_EQUAL(nullptr, find_route(lists, "c", "/x/y/"));
+}
+
+TEST(catalogue, pools_are_drawn_by_weight) {
+    // GIVEN a route split nine to one
+    route split;
+    split.pools = {{{"large"}, 9}, {{"small"}, 1}};
+    // WHEN every remainder is drawn
+    int small = 0;
+    for (std::uint64_t draw = 0; draw < 100; ++draw) {
+        small += choose_pool(split, draw).value == "small" ? 1 : 0;
+    }
+    // THEN each pool gets its part exactly
+    LONGS_EQUAL(10, small);
+}
+
+TEST(catalogue, only_idempotent_and_resumable_requests_are_repeatable) {
+    // GIVEN routes of each kind
+    route one;
+    // WHEN and THEN each is asked for
+    one.kind = request_kind::non_idempotent;
+    CHECK_FALSE(is_repeatable(one));
+    one.kind = request_kind::stream;
+    CHECK_FALSE(is_repeatable(one));
+    one.is_resumable = true;
+    CHECK_TRUE(is_repeatable(one));
+    one.kind = request_kind::idempotent;
+    CHECK_TRUE(is_repeatable(one));
+}
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -276,12 +276,60 @@
     std::string incarnation;
 };
 
+// --- pieces of stages ---------------------------------------------------------------------------
+
+//! Asks the packer of a pool for all pieces of one stage of one request.
+struct pieces_request {
+    std::uint64_t number{0};  //!< of the asking instance
+    pool_name pool;
+    std::string request;
+    std::uint64_t stage{0};
+    int pieces{0};
+    std::string key;                  //!< for stages without inputs
+    std::vector<std::string> inputs;  //!< results of the stages before
+    std::uint64_t result_bytes{0};    //!< of one piece
+    milliseconds aim_in{0};           //!< made by then, the request can meet its objective
+    milliseconds needed_in{0};        //!< made later, the request can't be answered any more
+    int priority{0};
+    int depth{0};
+    zone_name zone;  //!< where the results will be used; empty if unknown
+};
+
+//! The request has ended; nothing more is wanted for it.
+struct pieces_cancel {
+    pool_name pool;
+    std::uint64_t number{0};
+};
+
+//! Results that nobody will use again.
+struct pieces_release {
+    pool_name pool;
+    std::vector<std::string> results;
+};
+
+enum class pieces_verdict {
+    made,
+    overloaded,   //!< can't be made in time behind what waits already
+    input_lost,   //!< the stages before have to be done again
+    no_upstream,  //!< the pool has no upstream in service
+    failed,       //!< its pieces failed too often
+};
+
+struct pieces_reply {
+    std::uint64_t number{0};
+    pieces_verdict verdict{pieces_verdict::failed};
+    std::vector<std::string> results;  //!< one a piece, in order, if made
+    zone_name zone;                    //!< where the results lie
+    milliseconds retry_after{0};       //!< when the queue will have drained, if not made
+};
+
 using peer_message =
     std::variant<ping, pong, roster_notice, document_request, document_notice, emergency_notice,
                  cold_notice, report_notice, slot_request, slot_reply, slot_release,
                  holdings_request, holdings_reply, cancel_notice, share_report, share_grant,
                  permit_request, permit_reply, permit_return, permit_outcome, claim_request,
                  claim_reply, claim_progress, claim_end, suspects_notice, trial_request,
-                 trial_reply, trial_end>;
+                 trial_reply, trial_end, pieces_request, pieces_cancel, pieces_release,
+                 pieces_reply>;
 
 }  // namespace cyclamenmount
