--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -1,9 +1,15 @@
+# Warnings end a developer's build, not a user's: another compiler warns of other things.
+set(cyclamenmount_warnings -Wall -Wextra -Wpedantic -Wshadow)
+if(NOT CYCLAMENMOUNT_PLATFORM_ONLY)
+  list(APPEND cyclamenmount_warnings -Werror)
+endif()
+
 # cyclamenmount_module(NAME SOURCES ... [LINK ...]): one static library per module folder.
 function(cyclamenmount_module name)
   cmake_parse_arguments(MODULE "" "" "SOURCES;LINK" ${ARGN})
   add_library(${name} STATIC ${MODULE_SOURCES})
   target_include_directories(${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
-  target_compile_options(${name} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+  target_compile_options(${name} PRIVATE ${cyclamenmount_warnings})
   target_link_libraries(${name} PUBLIC ${MODULE_LINK})
 endfunction()
 
@@ -12,7 +18,7 @@
   cmake_parse_arguments(PROGRAM "" "" "SOURCES;LINK" ${ARGN})
   add_executable(${name} ${PROGRAM_SOURCES})
   target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/src)
-  target_compile_options(${name} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+  target_compile_options(${name} PRIVATE ${cyclamenmount_warnings})
   target_link_libraries(${name} PRIVATE ${PROGRAM_LINK})
 endfunction()
 
--- a/src/codec/field_names.cpp
+++ b/src/codec/field_names.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 //! The position is the wire form: new names go to the end, and none is taken out.
-constexpr std::array<std::string_view, 79> field_names = {"kind",
+constexpr std::array<std::string_view, 80> field_names = {"kind",
                                                           "from",
                                                           "sequence",
                                                           "versions",
@@ -87,7 +87,8 @@
                                                           "priority",
                                                           "depth",
                                                           "results",
-                                                          "retry_after"};
+                                                          "retry_after",
+                                                          "bytes_to_zone"};
 
 constexpr char first_short_name = '!';
 constexpr char last_printable = '~';
--- a/src/packing/desk.cpp
+++ b/src/packing/desk.cpp
@@ -54,6 +54,7 @@
     message.priority = order.priority;
     message.depth = order.depth;
     message.zone = order.zone;
+    message.bytes_to_zone = order.bytes_to_zone;
     return message;
 }
 
@@ -73,6 +74,7 @@
     order.priority = message.priority;
     order.depth = message.depth;
     order.zone = message.zone;
+    order.bytes_to_zone = message.bytes_to_zone;
     return order;
 }
 
--- a/src/packing/internal/selection.h
+++ b/src/packing/internal/selection.h
@@ -13,7 +13,10 @@
 
 bool is_usable(const packer_upstream& upstream, instant now);
 
-//! Bytes that results hold at an upstream, its call in progress included.
+//! Bytes of results that one upstream takes; less than its memory, since sizes are approximate.
+std::uint64_t result_capacity(const packer& state);
+
+//! Bytes that this packer's results hold at an upstream, its call in progress included.
 std::uint64_t held_bytes(const packer& state, const packer_upstream& upstream);
 
 //! Pieces for a call of `upstream` now; empty if it should stay idle.
--- a/src/packing/packer.cpp
+++ b/src/packing/packer.cpp
@@ -35,16 +35,18 @@
 }
 
 void release(packer& state, std::span<const std::string> results, packer_effects& out) {
-    for (auto& [id, upstream] : state.upstreams) {
-        std::vector<std::string> held;
-        for (const std::string& result : results) {
-            if (upstream.held.erase(result) != 0) {
-                held.push_back(result);
-            }
+    std::vector<std::string> unused;
+    for (const std::string& result : results) {
+        if (result.empty()) {
+            continue;
         }
-        if (!held.empty()) {
-            out.push_back(release_results{upstream.value.address, std::move(held)});
+        for (auto& [id, upstream] : state.upstreams) {
+            upstream.held.erase(result);
         }
+        unused.push_back(result);
+    }
+    if (!unused.empty()) {
+        out.emplace_back(std::in_place_type<release_results>, release_results{std::move(unused)});
     }
 }
 
@@ -61,7 +63,8 @@
 
 void refuse(packer& state, const order_id& id, pieces_verdict why, instant now,
             packer_effects& out) {
-    out.push_back(order_refused{id, why, retry_delay(state, now)});
+    out.emplace_back(std::in_place_type<order_refused>,
+                     order_refused{id, why, retry_delay(state, now)});
     drop(state, id, out);
 }
 
@@ -141,7 +144,7 @@
     if (!all_made) {
         return;
     }
-    out.push_back(order_made{id, open.results, open.zone});
+    out.emplace_back(std::in_place_type<order_made>, order_made{id, open.results, open.zone});
     state.orders.erase(found);
 }
 
@@ -183,6 +186,13 @@
     }
 }
 
+void assume_full(const packer& state, packer_upstream& upstream, instant now) {
+    const std::uint64_t known = detail::held_bytes(state, upstream);
+    const std::uint64_t capacity = detail::result_capacity(state);
+    upstream.foreign_bytes = capacity > known ? capacity - known : 0;
+    upstream.foreign_since = now;
+}
+
 void answer(packer& state, const call_answered& happened, instant now, packer_effects& out) {
     const auto call = take_call(state, happened.call);
     if (!call) {
@@ -214,8 +224,8 @@
             continue;
         }
         if (outcome.status == piece_status::no_memory) {
-            // Results that this packer doesn't know of fill the memory; they expire by themselves.
-            maker->second.suspect_until = now + first_backoff;
+            // Results that this packer doesn't know of fill the memory.
+            assume_full(state, maker->second, now);
         }
         accept_failed(state, call->pieces[i], outcome.status, now, out);
     }
@@ -286,8 +296,14 @@
 void refuse_hopeless(packer& state, instant now, packer_effects& out) {
     std::vector<order_id> hopeless;
     for (const auto& [id, open] : state.orders) {
+        if (detail::waiting_pieces(open) == 0) {
+            continue;
+        }
         const auto least = detail::call_time(state.limits, 1);
-        if (detail::waiting_pieces(open) > 0 && now + least > open.order.needed_by) {
+        // Beyond its aim an order goes last; it waits only while it can still be made in time.
+        const bool is_last = open.order.depth == 0 && now > open.order.aim &&
+                             detail::expected_end(state, open.order, now) > open.order.needed_by;
+        if (is_last || now + least > open.order.needed_by) {
             hopeless.push_back(id);
         }
     }
--- a/src/packing/packer.h
+++ b/src/packing/packer.h
@@ -87,8 +87,8 @@
     std::vector<call_item> items;
 };
 
+//! Results that their makers can forget; also such as another packer had made.
 struct release_results {
-    std::string address;
     std::vector<std::string> results;
 };
 
@@ -131,6 +131,8 @@
     instant suspect_until{};
     milliseconds backoff{0};
     std::map<std::string, held_result> held;
+    std::uint64_t foreign_bytes{0};  //!< held for others, as far as its refusals showed
+    instant foreign_since{};
 };
 
 struct called_piece {
@@ -153,7 +155,6 @@
     std::map<order_id, open_order> orders;
     std::map<call_number, open_call> calls;
     call_number last_call{0};
-    instant memory_full_until{};
 };
 
 std::vector<packer_effect> reduce(packer& state, const packer_event& happened, instant now);
--- a/src/packing/selection.cpp
+++ b/src/packing/selection.cpp
@@ -7,10 +7,16 @@
 
 namespace {
 
-//! Results of this size are worth waiting for an upstream near their consumer.
-constexpr std::uint64_t large_result_bytes = 500'000;
-//! Longest wait for it: about half a call, the mean wait for a busy upstream.
-constexpr milliseconds longest_zone_wait{120};
+//! Bytes that are worth waiting for an upstream in their zone, and how long for each of them: the
+//! users price 1 GB between zones like the worth of about 20 requests, so 1 MB is worth about as
+//! much as the risk of being late that 100 ms bring.
+constexpr std::uint64_t large_bytes = 400'000;
+constexpr double zone_wait_ms_per_mb = 100;
+constexpr double longest_zone_wait_ms = 600;
+//! Part of an upstream's memory for results that is planned with.
+constexpr double memory_part = 0.92;
+//! What other packers' results hold at an upstream is gone after about this long.
+constexpr milliseconds foreign_time{1500};
 //! An upstream this much slower than its pool gets only what the others can't make sooner.
 constexpr double slow_from = 1.8;
 constexpr double bytes_per_mb = 1e6;
@@ -49,9 +55,12 @@
 bool waits_for_zone(const packer& state, const packer_upstream& upstream, const piece_order& order,
                     instant now) {
     if (order.zone.empty() || order.zone == upstream.value.zone ||
-        order.result_bytes < large_result_bytes) {
+        order.bytes_to_zone < large_bytes) {
         return false;
     }
+    const auto longest_wait = milliseconds(std::lround(
+        std::min(longest_zone_wait_ms,
+                 zone_wait_ms_per_mb * static_cast<double>(order.bytes_to_zone) / bytes_per_mb)));
     for (const auto& [id, other] : state.upstreams) {
         if (other.value.zone != order.zone || !is_usable(other, now) ||
             other.slowness >= slow_from) {
@@ -59,7 +68,7 @@
         }
         const instant starts = free_at(state, other, now);
         const instant made = starts + call_time_at(state, other, order.pieces);
-        if (starts - now <= longest_zone_wait && made <= order.aim) {
+        if (starts - now <= longest_wait && made <= order.aim) {
             return true;
         }
     }
@@ -93,6 +102,26 @@
     }
 }
 
+//! Bytes that other packers' results are taken to hold; they fade as those expire.
+std::uint64_t foreign_bytes(const packer_upstream& upstream, instant now) {
+    const auto age = std::chrono::duration_cast<milliseconds>(now - upstream.foreign_since);
+    if (upstream.foreign_bytes == 0 || age >= foreign_time) {
+        return 0;
+    }
+    const double left = 1 - static_cast<double>(age.count()) / foreign_time.count();
+    return static_cast<std::uint64_t>(static_cast<double>(upstream.foreign_bytes) * left);
+}
+
+//! True if more waits than the next calls can take, so that calls have to be full. Otherwise the
+//! pieces of an order stay together, since their results are used together.
+bool is_under_pressure(const packer& state, std::span<const ranked_order> ranked) {
+    int waiting = 0;
+    for (const ranked_order& one : ranked) {
+        waiting += one.waiting;
+    }
+    return waiting > 2 * state.limits.batch;
+}
+
 int affordable(std::uint64_t free_bytes, std::uint64_t piece_bytes, int wanted) {
     if (piece_bytes == 0) {
         return wanted;
@@ -103,6 +132,10 @@
 
 }  // namespace
 
+std::uint64_t result_capacity(const packer& state) {
+    return static_cast<std::uint64_t>(state.limits.result_mb * bytes_per_mb * memory_part);
+}
+
 milliseconds call_time(const stage_limits& limits, int pieces) {
     return milliseconds(std::lround(limits.call_ms + limits.piece_ms * pieces));
 }
@@ -163,10 +196,12 @@
                                         instant now) {
     std::vector<called_piece> taken;
     int skip = upstream.slowness >= slow_from ? made_elsewhere_meanwhile(state, upstream, now) : 0;
-    const auto capacity = static_cast<std::uint64_t>(state.limits.result_mb * bytes_per_mb);
-    const std::uint64_t held = held_bytes(state, upstream);
+    const std::uint64_t capacity = result_capacity(state);
+    const std::uint64_t held = held_bytes(state, upstream) + foreign_bytes(upstream, now);
     std::uint64_t free_bytes = capacity > held ? capacity - held : 0;
-    for (const ranked_order& one : ranked_orders(state, now)) {
+    const auto ranked = ranked_orders(state, now);
+    const bool may_split = is_under_pressure(state, ranked);
+    for (const ranked_order& one : ranked) {
         if (skip > 0) {
             skip -= one.waiting;
             continue;
@@ -181,6 +216,10 @@
             continue;
         }
         const int count = affordable(free_bytes, order.result_bytes, std::min(room, one.waiting));
+        const bool is_split = count < one.waiting && one.waiting <= state.limits.batch;
+        if (is_split && !may_split) {
+            continue;
+        }
         take_pieces(*one.open, count, taken);
         free_bytes -= static_cast<std::uint64_t>(count) * order.result_bytes;
     }
--- a/src/packing/types/piece_order.h
+++ b/src/packing/types/piece_order.h
@@ -30,11 +30,12 @@
     std::string key;                                         //!< for stages without inputs
     std::shared_ptr<const std::vector<std::string>> inputs;  //!< null if there are none
     std::uint64_t result_bytes{0};                           //!< of one piece
-    instant aim{};        //!< made by then, the request can still meet its objective
-    instant needed_by{};  //!< made later, the request can't be answered any more
-    int priority{0};      //!< 0 is the most urgent
-    int depth{0};         //!< stages of the request that are done already
-    zone_name zone;       //!< where the results will be used; empty if unknown
+    instant aim{};                   //!< made by then, the request can still meet its objective
+    instant needed_by{};             //!< made later, the request can't be answered any more
+    int priority{0};                 //!< 0 is the most urgent
+    int depth{0};                    //!< stages of the request that are done already
+    zone_name zone;                  //!< where it is best made; empty if that doesn't matter
+    std::uint64_t bytes_to_zone{0};  //!< that cross zones if it is made elsewhere
 };
 
 //! One upstream of the pool.
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -164,13 +164,6 @@
     return index ? std::optional(from[*index]) : std::nullopt;
 }
 
-upstream_list in_zone(const upstream_list& from, const zone_name& zone) {
-    upstream_list found;
-    std::copy_if(from.begin(), from.end(), std::back_inserter(found),
-                 [&](const serving_upstream& one) { return one.zone == zone; });
-    return found;
-}
-
 }  // namespace
 
 std::optional<serving_upstream> place(placement_state& state, const fleet_view& view,
@@ -184,11 +177,6 @@
         cold.push_back(one);
         return true;
     });
-    if (wanted.must_stay_in_zone) {
-        if (auto near = choose(state, in_zone(all, wanted.zone), wanted, now)) {
-            return near;
-        }
-    }
     if (auto warm = choose(state, all, wanted, now)) {
         return warm;
     }
--- a/src/serving/stage_chain.cpp
+++ b/src/serving/stage_chain.cpp
@@ -76,13 +76,15 @@
     return std::all_of(chain.stages.begin(), chain.stages.end(), is_done);
 }
 
+bool is_final(const stage_chain& chain, std::size_t stage) {
+    return std::none_of(chain.stages.begin(), chain.stages.end(),
+                        [&](const chain_stage& later) { return follows(later, stage); });
+}
+
 std::vector<std::string> final_results(const stage_chain& chain) {
     std::vector<std::string> results;
     for (std::size_t i = 0; i < chain.stages.size(); ++i) {
-        const bool is_last =
-            std::none_of(chain.stages.begin(), chain.stages.end(),
-                         [&](const chain_stage& later) { return follows(later, i); });
-        if (is_last) {
+        if (is_final(chain, i)) {
             const auto& made = chain.stages[i].results;
             results.insert(results.end(), made.begin(), made.end());
         }
--- a/src/serving/stage_chain.h
+++ b/src/serving/stage_chain.h
@@ -37,6 +37,9 @@
 
 bool is_complete(const stage_chain& chain);
 
+//! True if no other stage follows; the request itself takes the results.
+bool is_final(const stage_chain& chain, std::size_t stage);
+
 //! Results of the stages that no other stage follows; the request itself takes them.
 std::vector<std::string> final_results(const stage_chain& chain);
 
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -292,7 +292,8 @@
     milliseconds needed_in{0};        //!< made later, the request can't be answered any more
     int priority{0};
     int depth{0};
-    zone_name zone;  //!< where the results will be used; empty if unknown
+    zone_name zone;                  //!< where it is best made; empty if that doesn't matter
+    std::uint64_t bytes_to_zone{0};  //!< that cross zones if it is made elsewhere
 };
 
 //! The request has ended; nothing more is wanted for it.
