--- a/src/packing/desk.cpp
+++ b/src/packing/desk.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds silence{650};
 //! How long a silent peer is passed over before it is tried again.
 constexpr milliseconds passed_over{2500};
+//! Pings whose late answers still count: those of the time until a peer counts as silent, and more.
+constexpr std::size_t remembered_pings = 8;
 
 const member* find_member(const desk& state, const instance_id& id) {
     if (!state.view) {
@@ -28,8 +30,23 @@
     return found == state.view->members.end() ? nullptr : &*found;
 }
 
-bool is_self(const desk& state, const member& who) {
-    return who.id == state.self.id;
+bool is_listed(const desk& state, const std::string& address) {
+    return state.view && std::ranges::find(state.view->members, address, &member::address) !=
+                             state.view->members.end();
+}
+
+bool is_self(const desk& state, const std::string& address) {
+    return address == state.self.address;
+}
+
+bool is_silent(const desk& state, const std::string& address, instant now) {
+    const auto health = state.peers.find(address);
+    return health != state.peers.end() && now < health->second.silent_until;
+}
+
+//! Whoever listens at the address, since a packer's state may be lost at any time.
+send_to_peer make_message(const std::string& address, peer_message message) {
+    return {{{}, address, {}}, std::move(message)};
 }
 
 milliseconds time_until(instant then, instant now) {
@@ -134,7 +151,7 @@
         run_packer(state, pool, order, now, out);
         return;
     }
-    out.push_back(send_to_peer{placed.home, to_message(placed, now)});
+    out.push_back(make_message(placed.home, to_message(placed, now)));
 }
 
 void abandon(desk& state, std::uint64_t number, instant now, desk_effects& out) {
@@ -148,16 +165,16 @@
         run_packer(state, placed.pool, order_cancelled{placed.order.id}, now, out);
         return;
     }
-    out.push_back(send_to_peer{placed.home, pieces_cancel{placed.pool, number}});
+    out.push_back(make_message(placed.home, pieces_cancel{placed.pool, number}));
 }
 
 void release(desk& state, const results_unused& unused, instant now, desk_effects& out) {
-    const member home = home_of(state, unused.pool, now);
+    const std::string home = home_of(state, unused.pool, now);
     if (is_self(state, home)) {
         run_packer(state, unused.pool, results_released{unused.results}, now, out);
         return;
     }
-    out.push_back(send_to_peer{home, pieces_release{unused.pool, unused.results}});
+    out.push_back(make_message(home, pieces_release{unused.pool, unused.results}));
 }
 
 void take_view(desk& state, const fleet_view_ptr& view, instant now, desk_effects& out) {
@@ -187,9 +204,7 @@
         if (is_self(state, placed.home)) {
             continue;
         }
-        const auto health = state.peers.find(placed.home.id);
-        const bool is_silent = health != state.peers.end() && now < health->second.silent_until;
-        if (is_silent || find_member(state, placed.home.id) == nullptr) {
+        if (is_silent(state, placed.home, now) || !is_listed(state, placed.home)) {
             moved.push_back(number);
         }
     }
@@ -199,14 +214,14 @@
 }
 
 void ping_homes(desk& state, instant now, desk_effects& out) {
-    std::map<instance_id, member> homes;
+    std::set<std::string> homes;
     for (const auto& [number, placed] : state.outstanding) {
         if (!is_self(state, placed.home)) {
-            homes[placed.home.id] = placed.home;
+            homes.insert(placed.home);
         }
     }
-    for (const auto& [id, home] : homes) {
-        peer_health& health = state.peers[id];
+    for (const std::string& home : homes) {
+        peer_health& health = state.peers[home];
         if (health.asked_at != instant{} && now - health.asked_at >= silence) {
             out.push_back(peer_judged{home, true, time_until(now, health.asked_at)});
             health.silent_until = now + passed_over;
@@ -216,8 +231,12 @@
         if (now - health.pinged_at >= ping_period) {
             ping asked;
             asked.from = state.self;
-            asked.sequence = ++health.sequence;
-            out.push_back(send_to_peer{home, asked});
+            asked.sequence = ++state.last_sequence;
+            health.sequences.push_back(asked.sequence);
+            if (health.sequences.size() > remembered_pings) {
+                health.sequences.pop_front();
+            }
+            out.push_back(make_message(home, asked));
             health.pinged_at = now;
             if (health.asked_at == instant{}) {
                 health.asked_at = now;
@@ -226,49 +245,69 @@
     }
 }
 
-void hear(desk& state, const instance_id& from, desk_effects& out) {
-    const auto found = state.peers.find(from);
+//! Places the orders of a home again whose process has changed; a packer that has them already
+//! ignores them.
+void repeat_orders(desk& state, const std::string& home, instant now, desk_effects& out) {
+    for (const auto& [number, placed] : state.outstanding) {
+        if (placed.home == home) {
+            out.push_back(make_message(home, to_message(placed, now)));
+        }
+    }
+}
+
+//! A ping was answered by the process `from`. Pings are numbered over all peers, so the number
+//! tells which address it was.
+void hear(desk& state, const instance_id& from, std::uint64_t sequence, instant now,
+          desk_effects& out) {
+    const auto found = std::ranges::find_if(state.peers, [&](const auto& entry) {
+        const auto& known = entry.second.sequences;
+        return std::find(known.begin(), known.end(), sequence) != known.end();
+    });
     if (found == state.peers.end()) {
         return;
     }
-    found->second.asked_at = {};
-    if (found->second.silent_until != instant{}) {
-        found->second.silent_until = {};
-        if (const member* const peer = find_member(state, from)) {
-            out.push_back(peer_judged{*peer, false, 0ms});
-        }
+    auto& [address, health] = *found;
+    health.asked_at = {};
+    if (health.silent_until != instant{}) {
+        health.silent_until = {};
+        out.push_back(peer_judged{address, false, 0ms});
+    }
+    if (health.process != from) {
+        health.process = from;
+        repeat_orders(state, address, now, out);
     }
 }
 
 void on_message(desk& state, const peer_said& said, instant now, desk_effects& out) {
-    hear(state, said.from, out);
     if (const member* const known = find_member(state, said.from)) {
         state.askers[said.from] = *known;
     }
-    std::visit(overloaded{
-                   [&](const ping& asked) {
-                       state.askers[said.from] = asked.from;
-                       pong answered;
-                       answered.sequence = asked.sequence;
-                       out.push_back(send_to_peer{asked.from, answered});
-                   },
-                   [&](const pieces_request& wanted) {
-                       if (wanted.pieces > 0) {
-                           run_packer(state, wanted.pool,
-                                      order_placed{from_message(wanted, said.from, now)}, now, out);
-                       }
-                   },
-                   [&](const pieces_cancel& cancelled) {
-                       run_packer(state, cancelled.pool,
-                                  order_cancelled{{said.from, cancelled.number}}, now, out);
-                   },
-                   [&](const pieces_release& unused) {
-                       run_packer(state, unused.pool, results_released{unused.results}, now, out);
-                   },
-                   [&](const pieces_reply& reply) { end_order(state, reply.number, reply, out); },
-                   [](const auto& /*other*/) {},
-               },
-               said.message);
+    std::visit(
+        overloaded{
+            [&](const ping& asked) {
+                state.askers[said.from] = asked.from;
+                pong answered;
+                answered.sequence = asked.sequence;
+                out.push_back(send_to_peer{asked.from, answered});
+            },
+            [&](const pong& answered) { hear(state, said.from, answered.sequence, now, out); },
+            [&](const pieces_request& wanted) {
+                if (wanted.pieces > 0) {
+                    run_packer(state, wanted.pool,
+                               order_placed{from_message(wanted, said.from, now)}, now, out);
+                }
+            },
+            [&](const pieces_cancel& cancelled) {
+                run_packer(state, cancelled.pool, order_cancelled{{said.from, cancelled.number}},
+                           now, out);
+            },
+            [&](const pieces_release& unused) {
+                run_packer(state, unused.pool, results_released{unused.results}, now, out);
+            },
+            [&](const pieces_reply& reply) { end_order(state, reply.number, reply, out); },
+            [](const auto& /*other*/) {},
+        },
+        said.message);
 }
 
 void pass_time(desk& state, instant now, desk_effects& out) {
@@ -297,24 +336,23 @@
 
 }  // namespace
 
-member home_of(const desk& state, const pool_name& pool, instant now) {
+std::string home_of(const desk& state, const pool_name& pool, instant now) {
     const member* home = nullptr;
     std::uint64_t highest = 0;
     if (state.view) {
         for (const member& one : state.view->members) {
-            const auto health = state.peers.find(one.id);
-            const bool is_silent = health != state.peers.end() && now < health->second.silent_until;
-            if (is_silent || (state.is_leaving && is_self(state, one))) {
+            const bool leaves = state.is_leaving && is_self(state, one.address);
+            if (leaves || is_silent(state, one.address, now)) {
                 continue;
             }
-            const auto weight = rendezvous_weight(one.id, pool.value);
+            const auto weight = rendezvous_weight({one.address}, pool.value);
             if (home == nullptr || weight > highest) {
                 home = &one;
                 highest = weight;
             }
         }
     }
-    return home == nullptr ? state.self : *home;
+    return home == nullptr ? state.self.address : home->address;
 }
 
 std::vector<desk_effect> reduce(desk& state, const desk_event& happened, instant now) {
--- a/src/packing/desk.h
+++ b/src/packing/desk.h
@@ -1,6 +1,7 @@
 //! One instance's side of packing: where it sends its orders, and what it packs for others.
 //!
-//! The home of a pool is the live member with the highest rendezvous weight. Instances may disagree
+//! The home of a pool is the live member whose address has the highest rendezvous weight, so a
+//! process that starts again is its machine's packer as before. Instances may disagree
 //! on who is live, so a pool can have two packers for a while; pieces may be made twice, and an
 //! upstream refuses a call that it has no place for. Orders at a home that falls silent are placed
 //! again at the next.
@@ -10,6 +11,8 @@
 #include "serving/types/fleet_view.h"
 #include "types/effects.h"
 
+#include <deque>
+
 namespace cyclamenmount {
 
 // --- events -------------------------------------------------------------------------------------
@@ -72,7 +75,7 @@
 
 //! A peer was found silent or is heard again.
 struct peer_judged {
-    member peer;
+    std::string address;
     bool is_silent{false};
     milliseconds unheard{0};
 };
@@ -82,24 +85,27 @@
 
 // --- state --------------------------------------------------------------------------------------
 
+//! Of whoever listens at one address; a process that starts again there goes on packing.
 struct peer_health {
     instant asked_at{};  //!< first ping without an answer; zero if none is open
     instant pinged_at{};
     instant silent_until{};
-    std::uint64_t sequence{0};
+    std::deque<std::uint64_t> sequences;  //!< of the last pings
+    instance_id process;                  //!< that answered last
 };
 
 struct outstanding_order {
     pool_name pool;
     piece_order order;
-    member home;  //!< this instance if it packs itself
+    std::string home;  //!< address; this instance's own if it packs itself
 };
 
 struct desk {
     member self;
     bool is_leaving{false};
     fleet_view_ptr view;
-    std::map<instance_id, peer_health> peers;
+    std::map<std::string, peer_health> peers;  //!< by address
+    std::uint64_t last_sequence{0};
     std::map<instance_id, member> askers;  //!< where to answer
     std::map<pool_name, packer> packers;
     std::map<std::uint64_t, outstanding_order> outstanding;
@@ -107,7 +113,8 @@
 
 std::vector<desk_effect> reduce(desk& state, const desk_event& happened, instant now);
 
-//! The member that packs for `pool`, as this instance sees it; itself if it knows no other.
-member home_of(const desk& state, const pool_name& pool, instant now);
+//! Address of the member that packs for `pool`, as this instance sees it; its own if it knows no
+//! other.
+std::string home_of(const desk& state, const pool_name& pool, instant now);
 
 }  // namespace cyclamenmount
--- a/src/packing/tests/desk_tests.cpp
+++ b/src/packing/tests/desk_tests.cpp
@@ -77,10 +77,10 @@
     const auto view = make_view({make_member("a"), make_member("b")});
     desk a = make_desk("a", view);
     desk b = make_desk("b", view);
-    const member home = home_of(a, pool, start);
+    const std::string home = home_of(a, pool, start);
     CHECK_TRUE(home == home_of(b, pool, start));
-    desk& packs = home.id.value == "a" ? a : b;
-    desk& asks = home.id.value == "a" ? b : a;
+    desk& packs = home == "a:7" ? a : b;
+    desk& asks = home == "a:7" ? b : a;
     // WHEN the other one orders pieces
     const auto sent = all_of<send_to_peer>(reduce(asks, make_wanted(asks, 1), start));
     LONGS_EQUAL(1, sent.size());
@@ -110,7 +110,7 @@
     // GIVEN an order at a home that has just frozen
     const auto view = make_view({make_member("a"), make_member("b")});
     desk any = make_desk("a", view);
-    const std::string other = home_of(any, pool, start).id.value == "a" ? "b" : "a";
+    const std::string other = home_of(any, pool, start) == "a:7" ? "b" : "a";
     desk asks = make_desk(other, view);
     reduce(asks, make_wanted(asks, 1), start);
     // WHEN it doesn't answer pings
@@ -130,8 +130,8 @@
     // GIVEN an order that takes long at a living home
     const auto view = make_view({make_member("a"), make_member("b")});
     desk any = make_desk("a", view);
-    const member home = home_of(any, pool, start);
-    desk asks = make_desk(home.id.value == "a" ? "b" : "a", view);
+    const std::string home = home_of(any, pool, start);
+    desk asks = make_desk(home == "a:7" ? "b" : "a", view);
     reduce(asks, make_wanted(asks, 1), start);
     // WHEN it answers each ping
     for (instant now = start; now < start + 3s; now += 50ms) {
@@ -139,8 +139,10 @@
         // THEN it never counts as silent
         LONGS_EQUAL(0, all_of<peer_judged>(effects).size());
         for (const send_to_peer& sent : all_of<send_to_peer>(effects)) {
-            if (std::holds_alternative<ping>(sent.message)) {
-                reduce(asks, peer_said{home.id, pong{}}, now + 1ms);
+            if (const auto* const asked = std::get_if<ping>(&sent.message)) {
+                pong answered;
+                answered.sequence = asked->sequence;
+                reduce(asks, peer_said{{"home"}, answered}, now + 1ms);
             }
         }
     }
@@ -150,7 +152,7 @@
     // GIVEN an order at the other instance
     const auto view = make_view({make_member("a"), make_member("b")});
     desk any = make_desk("a", view);
-    desk asks = make_desk(home_of(any, pool, start).id.value == "a" ? "b" : "a", view);
+    desk asks = make_desk(home_of(any, pool, start) == "a:7" ? "b" : "a", view);
     reduce(asks, make_wanted(asks, 1), start);
     // WHEN the store's list has only this one left
     const auto effects = reduce(asks, view_changed{make_view({asks.self})}, start + 100ms);
@@ -162,10 +164,30 @@
     // GIVEN an order at the other instance
     const auto view = make_view({make_member("a"), make_member("b")});
     desk any = make_desk("a", view);
-    desk asks = make_desk(home_of(any, pool, start).id.value == "a" ? "b" : "a", view);
+    desk asks = make_desk(home_of(any, pool, start) == "a:7" ? "b" : "a", view);
     reduce(asks, make_wanted(asks, 1), start);
     // WHEN its caller leaves
     const auto sent = all_of<send_to_peer>(reduce(asks, pieces_abandoned{1}, start + 10ms));
     // THEN the home is told
     CHECK_TRUE(std::holds_alternative<pieces_cancel>(sent.at(0).message));
 }
+
+TEST(desk, a_home_that_started_again_gets_its_orders_again) {
+    // GIVEN an order at a home that has answered a ping
+    const auto view = make_view({make_member("a"), make_member("b")});
+    desk any = make_desk("a", view);
+    desk asks = make_desk(home_of(any, pool, start) == "a:7" ? "b" : "a", view);
+    reduce(asks, make_wanted(asks, 1), start);
+    pong answered;
+    answered.sequence = 1;
+    reduce(asks, desk_tick{}, start);
+    reduce(asks, peer_said{{"first"}, answered}, start + 1ms);
+    // WHEN another process answers at its address
+    reduce(asks, desk_tick{}, start + 250ms);
+    answered.sequence = 2;
+    const auto sent =
+        all_of<send_to_peer>(reduce(asks, peer_said{{"second"}, answered}, start + 251ms));
+    // THEN the order is sent to it, whatever the store says of that member
+    LONGS_EQUAL(1, sent.size());
+    CHECK_TRUE(std::holds_alternative<pieces_request>(sent[0].message));
+}
