--- a/src/codec/field_names.cpp
+++ b/src/codec/field_names.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 //! The position is the wire form: new names go to the end, and none is taken out.
-constexpr std::array<std::string_view, 80> field_names = {"kind",
+constexpr std::array<std::string_view, 81> field_names = {"kind",
                                                           "from",
                                                           "sequence",
                                                           "versions",
@@ -88,7 +88,8 @@
                                                           "depth",
                                                           "results",
                                                           "retry_after",
-                                                          "bytes_to_zone"};
+                                                          "bytes_to_zone",
+                                                          "pool_wait"};
 
 constexpr char first_short_name = '!';
 constexpr char last_printable = '~';
--- a/src/codec/internal/json_messages.h
+++ b/src/codec/internal/json_messages.h
@@ -67,7 +67,8 @@
                                    bytes_to_zone)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_cancel, pool, number)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_release, pool, results)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_reply, number, verdict, results, zone, retry_after)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_reply, number, verdict, results, zone, retry_after,
+                                   pool_wait)
 
 void to_json(nlohmann::json& out, const peer_message& message);
 void from_json(const nlohmann::json& in, peer_message& message);
--- a/src/packing/desk.cpp
+++ b/src/packing/desk.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds silence{650};
 //! How long a silent peer is passed over before it is tried again.
 constexpr milliseconds passed_over{2500};
+//! A told wait that is older says little: about two calls have ended since.
+constexpr milliseconds wait_age{600};
 //! Pings whose late answers still count: those of the time until a peer counts as silent, and more.
 constexpr std::size_t remembered_pings = 8;
 
@@ -95,17 +97,22 @@
     return order;
 }
 
-void end_order(desk& state, std::uint64_t number, pieces_reply reply, desk_effects& out) {
-    if (state.outstanding.erase(number) != 0) {
-        reply.number = number;
-        out.push_back(pieces_ended{number, std::move(reply)});
+void end_order(desk& state, std::uint64_t number, pieces_reply reply, instant now,
+               desk_effects& out) {
+    const auto found = state.outstanding.find(number);
+    if (found == state.outstanding.end()) {
+        return;
     }
+    state.waits[found->second.pool] = {reply.pool_wait, now};
+    state.outstanding.erase(found);
+    reply.number = number;
+    out.push_back(pieces_ended{number, std::move(reply)});
 }
 
 //! Answers whoever placed the order: this instance or a peer.
-void reply_to(desk& state, const order_id& id, pieces_reply reply, desk_effects& out) {
+void reply_to(desk& state, const order_id& id, pieces_reply reply, instant now, desk_effects& out) {
     if (id.asker == state.self.id) {
-        end_order(state, id.number, std::move(reply), out);
+        end_order(state, id.number, std::move(reply), now, out);
         return;
     }
     const auto asker = state.askers.find(id.asker);
@@ -128,13 +135,15 @@
                            reply.verdict = pieces_verdict::made;
                            reply.results = std::move(made.results);
                            reply.zone = made.zone;
-                           reply_to(state, made.id, std::move(reply), out);
+                           reply.pool_wait = waiting_time(state.packers[pool], now);
+                           reply_to(state, made.id, std::move(reply), now, out);
                        },
                        [&](order_refused& refused) {
                            pieces_reply reply;
                            reply.verdict = refused.why;
                            reply.retry_after = refused.retry_after;
-                           reply_to(state, refused.id, std::move(reply), out);
+                           reply.pool_wait = waiting_time(state.packers[pool], now);
+                           reply_to(state, refused.id, std::move(reply), now, out);
                        },
                    },
                    effect);
@@ -304,7 +313,7 @@
             [&](const pieces_release& unused) {
                 run_packer(state, unused.pool, results_released{unused.results}, now, out);
             },
-            [&](const pieces_reply& reply) { end_order(state, reply.number, reply, out); },
+            [&](const pieces_reply& reply) { end_order(state, reply.number, reply, now, out); },
             [](const auto& /*other*/) {},
         },
         said.message);
@@ -330,12 +339,18 @@
     for (const std::uint64_t number : expired) {
         pieces_reply reply;
         reply.verdict = pieces_verdict::overloaded;
-        end_order(state, number, std::move(reply), out);
+        end_order(state, number, std::move(reply), now, out);
     }
 }
 
 }  // namespace
 
+milliseconds known_wait(const desk& state, const pool_name& pool, instant now) {
+    const auto found = state.waits.find(pool);
+    const bool is_fresh = found != state.waits.end() && now - found->second.at < wait_age;
+    return is_fresh ? found->second.wait : 0ms;
+}
+
 std::string home_of(const desk& state, const pool_name& pool, instant now) {
     const member* home = nullptr;
     std::uint64_t highest = 0;
--- a/src/packing/desk.h
+++ b/src/packing/desk.h
@@ -100,6 +100,11 @@
     std::string home;  //!< address; this instance's own if it packs itself
 };
 
+struct told_wait {
+    milliseconds wait{0};
+    instant at{};
+};
+
 struct desk {
     member self;
     bool is_leaving{false};
@@ -109,8 +114,12 @@
     std::map<instance_id, member> askers;  //!< where to answer
     std::map<pool_name, packer> packers;
     std::map<std::uint64_t, outstanding_order> outstanding;
+    std::map<pool_name, told_wait> waits;
 };
 
+//! What an order at the pool would wait, as its packer told last; 0 if that is too long ago.
+milliseconds known_wait(const desk& state, const pool_name& pool, instant now);
+
 std::vector<desk_effect> reduce(desk& state, const desk_event& happened, instant now);
 
 //! Address of the member that packs for `pool`, as this instance sees it; its own if it knows no
--- a/src/packing/packer.cpp
+++ b/src/packing/packer.cpp
@@ -342,6 +342,20 @@
 
 }  // namespace
 
+milliseconds waiting_time(const packer& state, instant now) {
+    piece_order next;
+    next.pieces = 1;
+    next.aim = instant::max();
+    next.priority = std::numeric_limits<int>::max();
+    const instant end = detail::expected_end(state, next, now);
+    if (end == instant::max()) {
+        return longest_backoff;
+    }
+    const auto wait =
+        std::chrono::duration_cast<milliseconds>(end - now) - detail::call_time(state.limits, 1);
+    return std::max(wait, 0ms);
+}
+
 milliseconds drain_time(const packer& state, instant now) {
     if (state.upstreams.empty()) {
         return 1000ms;
--- a/src/packing/packer.h
+++ b/src/packing/packer.h
@@ -159,6 +159,9 @@
 
 std::vector<packer_effect> reduce(packer& state, const packer_event& happened, instant now);
 
+//! How long the least urgent order that can still be on time would wait for its call to begin.
+milliseconds waiting_time(const packer& state, instant now);
+
 //! When everything that waits now would be made.
 milliseconds drain_time(const packer& state, instant now);
 
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -322,6 +322,7 @@
     std::vector<std::string> results;  //!< one a piece, in order, if made
     zone_name zone;                    //!< where the results lie
     milliseconds retry_after{0};       //!< when the queue will have drained, if not made
+    milliseconds pool_wait{0};         //!< what a further order would wait for its call to begin
 };
 
 using peer_message =
