--- a/src/packing/selection.cpp
+++ b/src/packing/selection.cpp
@@ -215,11 +215,12 @@
         if (now + takes > order.needed_by || waits_for_zone(state, upstream, order, now)) {
             continue;
         }
-        const int count = affordable(free_bytes, order.result_bytes, std::min(room, one.waiting));
-        const bool is_split = count < one.waiting && one.waiting <= state.limits.batch;
+        const bool is_split = room < one.waiting && one.waiting <= state.limits.batch;
         if (is_split && !may_split) {
             continue;
         }
+        // An order larger than the free memory takes its part; it would never find enough at once.
+        const int count = affordable(free_bytes, order.result_bytes, std::min(room, one.waiting));
         take_pieces(*one.open, count, taken);
         free_bytes -= static_cast<std::uint64_t>(count) * order.result_bytes;
     }
--- a/src/serving/catalogue.cpp
+++ b/src/serving/catalogue.cpp
@@ -39,6 +39,19 @@
     return from.pools.back().pool;
 }
 
+milliseconds first_answer_patience(const route& which, milliseconds patience) {
+    if (which.kind != request_kind::stream) {
+        return patience;
+    }
+    // A gap of this length makes the users' callers abandon a stream, also before its first event.
+    constexpr milliseconds least_gap{2000};
+    constexpr int objectives = 4;
+    constexpr int pauses = 8;
+    const milliseconds gap =
+        std::max({least_gap, objectives * which.objective, pauses * which.longest_pause});
+    return std::min(patience, gap);
+}
+
 bool is_repeatable(const route& which) {
     return which.kind == request_kind::idempotent ||
            (which.kind == request_kind::stream && which.is_resumable);
--- a/src/serving/catalogue.h
+++ b/src/serving/catalogue.h
@@ -16,6 +16,10 @@
 //! One of the route's pools, drawn by weight. `draw` is a random number.
 const pool_name& choose_pool(const route& from, std::uint64_t draw);
 
+//! How long callers wait for the first answer, or event, of a request that they sent with this
+//! patience. Callers of streams leave sooner than their deadline says.
+milliseconds first_answer_patience(const route& which, milliseconds patience);
+
 //! True if a request of this route may run more than once.
 bool is_repeatable(const route& which);
 
--- a/src/serving/tests/catalogue_tests.cpp
+++ b/src/serving/tests/catalogue_tests.cpp
@@ -45,6 +45,21 @@
     LONGS_EQUAL(10, small);
 }
 
+TEST(catalogue, callers_of_streams_leave_after_a_gap) {
+    // GIVEN a stream with an objective of 1.4 s and a deadline of 15 s, and a plain route
+    route stream;
+    stream.kind = request_kind::stream;
+    stream.objective = 1400ms;
+    stream.longest_pause = 250ms;
+    // WHEN their callers' patience is asked for
+    // THEN the stream's first event must come within four objectives
+    LONGS_EQUAL(5600, first_answer_patience(stream, 15s).count());
+    LONGS_EQUAL(4000, first_answer_patience(stream, 4s).count());
+    stream.objective = 100ms;
+    LONGS_EQUAL(2000, first_answer_patience(stream, 15s).count());
+    LONGS_EQUAL(15000, first_answer_patience(route{}, 15s).count());
+}
+
 TEST(catalogue, only_idempotent_and_resumable_requests_are_repeatable) {
     // GIVEN routes of each kind
     route one;
