--- a/src/codec/field_names.cpp
+++ b/src/codec/field_names.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 //! The position is the wire form: new names go to the end, and none is taken out.
-constexpr std::array<std::string_view, 81> field_names = {"kind",
+constexpr std::array<std::string_view, 82> field_names = {"kind",
                                                           "from",
                                                           "sequence",
                                                           "versions",
@@ -89,7 +89,8 @@
                                                           "results",
                                                           "retry_after",
                                                           "bytes_to_zone",
-                                                          "pool_wait"};
+                                                          "pool_wait",
+                                                          "millicores"};
 
 constexpr char first_short_name = '!';
 constexpr char last_printable = '~';
--- a/src/codec/internal/json_basic.h
+++ b/src/codec/internal/json_basic.h
@@ -44,7 +44,7 @@
                                                   {upstream_condition::warm, "warm"},
                                                   {upstream_condition::leaving, "leaving"}})
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member, id, address, zone)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(member, id, address, zone, millicores)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(roster, generation, settled, members, proposal)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(listed_instance, id, address, zone, role, leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(upstream_report, upstream, incarnation, condition, in_flight,
--- a/src/packing/desk.cpp
+++ b/src/packing/desk.cpp
@@ -11,12 +11,14 @@
 
 using desk_effects = std::vector<desk_effect>;
 
-//! A home that owes answers is pinged this often; two lost pings and a late one don't make it
-//! silent.
-constexpr milliseconds ping_period{200};
-//! A home without an answer for this long is passed over; a stage call takes 250 ms, so a request
-//! can still be served through the next home.
-constexpr milliseconds silence{650};
+//! A home that owes an answer and hasn't been heard for this long is pinged: a little more than a
+//! stage call takes.
+constexpr milliseconds quiet{300};
+//! Between pings; a lost one and a late one don't make a home silent.
+constexpr milliseconds ping_period{150};
+//! A home without an answer to pings for this long is passed over; a request can still be served
+//! through the next home.
+constexpr milliseconds silence{450};
 //! How long a silent peer is passed over before it is tried again.
 constexpr milliseconds passed_over{2500};
 //! A told wait that is older says little: about two calls have ended since.
@@ -104,6 +106,9 @@
         return;
     }
     state.waits[found->second.pool] = {reply.pool_wait, now};
+    peer_health& home = state.peers[found->second.home];
+    home.heard_at = now;
+    home.asked_at = {};
     state.outstanding.erase(found);
     reply.number = number;
     out.push_back(pieces_ended{number, std::move(reply)});
@@ -153,6 +158,7 @@
 void place(desk& state, std::uint64_t number, instant now, desk_effects& out) {
     outstanding_order& placed = state.outstanding.at(number);
     placed.home = home_of(state, placed.pool, now);
+    placed.placed_at = now;
     if (is_self(state, placed.home)) {
         // Copied: the packer may end the order at once.
         const order_placed order{placed.order};
@@ -223,13 +229,14 @@
 }
 
 void ping_homes(desk& state, instant now, desk_effects& out) {
-    std::set<std::string> homes;
+    std::set<std::string> quiet_homes;
     for (const auto& [number, placed] : state.outstanding) {
-        if (!is_self(state, placed.home)) {
-            homes.insert(placed.home);
+        const instant since = std::max(placed.placed_at, state.peers[placed.home].heard_at);
+        if (!is_self(state, placed.home) && now - since >= quiet) {
+            quiet_homes.insert(placed.home);
         }
     }
-    for (const std::string& home : homes) {
+    for (const std::string& home : quiet_homes) {
         peer_health& health = state.peers[home];
         if (health.asked_at != instant{} && now - health.asked_at >= silence) {
             out.push_back(peer_judged{home, true, time_until(now, health.asked_at)});
@@ -276,6 +283,7 @@
         return;
     }
     auto& [address, health] = *found;
+    health.heard_at = now;
     health.asked_at = {};
     if (health.silent_until != instant{}) {
         health.silent_until = {};
@@ -339,7 +347,9 @@
     for (const std::uint64_t number : expired) {
         pieces_reply reply;
         reply.verdict = pieces_verdict::overloaded;
-        end_order(state, number, std::move(reply), now, out);
+        state.outstanding.erase(number);
+        reply.number = number;
+        out.push_back(pieces_ended{number, std::move(reply)});
     }
 }
 
@@ -355,9 +365,14 @@
     const member* home = nullptr;
     std::uint64_t highest = 0;
     if (state.view) {
+        int strongest = 0;
         for (const member& one : state.view->members) {
+            strongest = std::max(strongest, one.millicores);
+        }
+        for (const member& one : state.view->members) {
+            const bool is_weak = 2 * one.millicores < strongest;
             const bool leaves = state.is_leaving && is_self(state, one.address);
-            if (leaves || is_silent(state, one.address, now)) {
+            if (is_weak || leaves || is_silent(state, one.address, now)) {
                 continue;
             }
             const auto weight = rendezvous_weight({one.address}, pool.value);
--- a/src/packing/desk.h
+++ b/src/packing/desk.h
@@ -1,7 +1,8 @@
 //! One instance's side of packing: where it sends its orders, and what it packs for others.
 //!
 //! The home of a pool is the live member whose address has the highest rendezvous weight, so a
-//! process that starts again is its machine's packer as before. Instances may disagree
+//! process that starts again is its machine's packer as before. Machines with less than half of the
+//! processor of the strongest aren't homes. Instances may disagree
 //! on who is live, so a pool can have two packers for a while; pieces may be made twice, and an
 //! upstream refuses a call that it has no place for. Orders at a home that falls silent are placed
 //! again at the next.
@@ -87,6 +88,7 @@
 
 //! Of whoever listens at one address; a process that starts again there goes on packing.
 struct peer_health {
+    instant heard_at{};
     instant asked_at{};  //!< first ping without an answer; zero if none is open
     instant pinged_at{};
     instant silent_until{};
@@ -98,6 +100,7 @@
     pool_name pool;
     piece_order order;
     std::string home;  //!< address; this instance's own if it packs itself
+    instant placed_at{};
 };
 
 struct told_wait {
--- a/src/types/fleet.h
+++ b/src/types/fleet.h
@@ -15,6 +15,7 @@
     instance_id id;
     std::string address;  //!< IP:PORT of its peer listener
     zone_name zone;
+    int millicores{0};  //!< what its machine gives it; 0 if unknown
 
     bool operator==(const member&) const = default;
 };
