A process that knows no upstreams yet says so, and its orders move at once

Change: it answers "not ready"; the asker passes it over and places the order at the next home. The request carries the asker's address, since a new process doesn't know the members.

--- a/src/packing/desk.cpp
+++ b/src/packing/desk.cpp
@@ -26,15 +26,7 @@
 //! Pings whose late answers still count: those of the time until a peer counts as silent, and more.
 constexpr std::size_t remembered_pings = 8;
 
-const member* find_member(const desk& state, const instance_id& id) {
-    if (!state.view) {
-        return nullptr;
-    }
-    const auto found = std::ranges::find(state.view->members, id, &member::id);
-    return found == state.view->members.end() ? nullptr : &*found;
-}
-
-//! A process that doesn't know the upstreams yet stays silent, so that others pack meanwhile.
+//! A process that doesn't know the upstreams yet packs for nobody.
 bool is_able(const desk& state) {
     return state.view && state.view->lists && state.view->upstreams_known;
 }
@@ -62,7 +54,7 @@
     return std::chrono::duration_cast<milliseconds>(then - now);
 }
 
-pieces_request to_message(const outstanding_order& placed, instant now) {
+pieces_request to_message(const desk& state, const outstanding_order& placed, instant now) {
     const piece_order& order = placed.order;
     pieces_request message;
     message.number = order.id.number;
@@ -81,6 +73,7 @@
     message.depth = order.depth;
     message.zone = order.zone;
     message.bytes_to_zone = order.bytes_to_zone;
+    message.address = state.self.address;
     return message;
 }
 
@@ -171,7 +164,7 @@
         run_packer(state, pool, order, now, out);
         return;
     }
-    out.push_back(make_message(placed.home, to_message(placed, now)));
+    out.push_back(make_message(placed.home, to_message(state, placed, now)));
 }
 
 void abandon(desk& state, std::uint64_t number, instant now, desk_effects& out) {
@@ -271,7 +264,7 @@
 void repeat_orders(desk& state, const std::string& home, instant now, desk_effects& out) {
     for (const auto& [number, placed] : state.outstanding) {
         if (placed.home == home) {
-            out.push_back(make_message(home, to_message(placed, now)));
+            out.push_back(make_message(home, to_message(state, placed, now)));
         }
     }
 }
@@ -300,15 +293,15 @@
     }
 }
 
-void on_message(desk& state, const peer_said& said, instant now, desk_effects& out) {
-    if (const member* const known = find_member(state, said.from)) {
-        state.askers[said.from] = *known;
-    }
-    const bool is_new_work = std::holds_alternative<ping>(said.message) ||
-                             std::holds_alternative<pieces_request>(said.message);
-    if (is_new_work && !is_able(state)) {
-        return;
+//! The home of this order can't pack now; its orders are moved.
+void pass_over(desk& state, std::uint64_t number, instant now) {
+    const auto found = state.outstanding.find(number);
+    if (found != state.outstanding.end()) {
+        state.peers[found->second.home].silent_until = now + passed_over;
     }
+}
+
+void on_message(desk& state, const peer_said& said, instant now, desk_effects& out) {
     std::visit(
         overloaded{
             [&](const ping& asked) {
@@ -319,6 +312,13 @@
             },
             [&](const pong& answered) { hear(state, said.from, answered.sequence, now, out); },
             [&](const pieces_request& wanted) {
+                state.askers[said.from] = {said.from, wanted.address, {}};
+                if (!is_able(state)) {
+                    pieces_reply reply;
+                    reply.verdict = pieces_verdict::not_ready;
+                    reply_to(state, {said.from, wanted.number}, std::move(reply), now, out);
+                    return;
+                }
                 if (wanted.pieces > 0) {
                     run_packer(state, wanted.pool,
                                order_placed{from_message(wanted, said.from, now)}, now, out);
@@ -331,7 +331,13 @@
             [&](const pieces_release& unused) {
                 run_packer(state, unused.pool, results_released{unused.results}, now, out);
             },
-            [&](const pieces_reply& reply) { end_order(state, reply.number, reply, now, out); },
+            [&](const pieces_reply& reply) {
+                if (reply.verdict == pieces_verdict::not_ready) {
+                    pass_over(state, reply.number, now);
+                    return;
+                }
+                end_order(state, reply.number, reply, now, out);
+            },
             [](const auto& /*other*/) {},
         },
         said.message);
--- a/src/packing/tests/desk_tests.cpp
+++ b/src/packing/tests/desk_tests.cpp
@@ -227,16 +227,20 @@
     }
 }
 
-TEST(desk, a_process_that_knows_no_upstreams_yet_stays_silent) {
-    // GIVEN a home that has just started again while the store is down
+TEST(desk, orders_at_a_process_that_knows_no_upstreams_yet_are_moved_at_once) {
+    // GIVEN an order at a home that has just started again while the store is down
+    const auto view = make_view({make_member("a"), make_member("b")});
+    desk any = make_desk("a", view);
+    const bool a_is_home = home_of(any, pool, start) == "a:7";
+    desk asks = make_desk(a_is_home ? "b" : "a", view);
     desk home;
-    home.self = make_member("a");
-    pieces_request wanted;
-    wanted.number = 1;
-    wanted.pool = pool;
-    wanted.pieces = 1;
-    // WHEN it is pinged and asked for pieces
-    // THEN it says nothing, so that the asker goes to the next home instead of being refused
-    LONGS_EQUAL(0, reduce(home, peer_said{{"b"}, ping{}}, start).size());
-    LONGS_EQUAL(0, reduce(home, peer_said{{"b"}, wanted}, start).size());
+    home.self = make_member(a_is_home ? "a" : "b");
+    const auto sent = all_of<send_to_peer>(reduce(asks, make_wanted(asks, 1), start));
+    // WHEN it is asked
+    const auto replies = all_of<send_to_peer>(
+        reduce(home, peer_said{asks.self.id, sent.at(0).message}, start + 1ms));
+    // THEN it says that it isn't ready, and the asker packs itself without waiting
+    const auto moved = reduce(asks, peer_said{home.self.id, replies.at(0).message}, start + 2ms);
+    LONGS_EQUAL(0, all_of<pieces_ended>(moved).size());
+    LONGS_EQUAL(1, all_of<call_stage>(moved).size());
 }
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -294,6 +294,7 @@
     int depth{0};
     zone_name zone;                  //!< where it is best made; empty if that doesn't matter
     std::uint64_t bytes_to_zone{0};  //!< that cross zones if it is made elsewhere
+    std::string address;             //!< of the asking instance, for the reply
 };
 
 //! The request has ended; nothing more is wanted for it.
@@ -314,6 +315,7 @@
     input_lost,   //!< the stages before have to be done again
     no_upstream,  //!< the pool has no upstream in service
     failed,       //!< its pieces failed too often
+    not_ready,    //!< this process doesn't know the upstreams yet; another one may
 };
 
 struct pieces_reply {
