--- a/src/serving/tests/chain_admission_tests.cpp
+++ b/src/serving/tests/chain_admission_tests.cpp
@@ -1,4 +1,5 @@
 #include "serving/chain_admission.h"
+#include "serving/tests/chain_lists.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -8,17 +9,6 @@
 
 constexpr instant start{milliseconds(1'000'000)};
 
-catalogue make_lists() {
-    catalogue lists;
-    for (const char* name : {"a", "b", "c"}) {
-        pool_limits pool;
-        pool.name = {name};
-        pool.stage = stage_limits{8, 150, 10, 36, 4000ms};
-        lists.pools[pool.name] = pool;
-    }
-    return lists;
-}
-
 //! Three stages one after the other: 160, 230 and 230 ms of calls.
 stage_chain make_chain() {
     route one;
@@ -41,7 +31,7 @@
 TEST(chain_admission, waits_at_all_pools_ahead_count) {
     // GIVEN a chain of 620 ms of calls, and waits of 100, 100 and 400 ms
     const stage_chain chain = make_chain();
-    const catalogue lists = make_lists();
+    const catalogue lists = testing::make_chain_lists();
     // WHEN its time is asked for
     // THEN both are in it
     LONGS_EQUAL(1220, time_with_waits(chain, lists, waits(400ms)).count());
@@ -51,7 +41,7 @@
 TEST(chain_admission, a_request_that_will_be_late_at_an_overloaded_pool_is_refused_at_once) {
     // GIVEN a last pool with 800 ms of waiting before it, where 1,600 ms are left
     const stage_chain chain = make_chain();
-    const catalogue lists = make_lists();
+    const catalogue lists = testing::make_chain_lists();
     // WHEN a request comes
     const auto refused = refuse_chain(chain, lists, make_times(0), waits(800ms));
     // THEN it is refused before any stage has begun, with the time that the pool needs
@@ -64,7 +54,8 @@
     // GIVEN the same chain with less waiting
     const stage_chain chain = make_chain();
     // WHEN and THEN it is begun
-    CHECK_FALSE(refuse_chain(chain, make_lists(), make_times(0), waits(500ms)).has_value());
+    CHECK_FALSE(
+        refuse_chain(chain, testing::make_chain_lists(), make_times(0), waits(500ms)).has_value());
 }
 
 TEST(chain_admission, a_late_request_is_begun_while_no_pool_is_overloaded) {
@@ -73,7 +64,7 @@
     chain_times late = make_times(0);
     late.objective = start;
     // WHEN and THEN it is begun, as nobody else is hurt
-    CHECK_FALSE(refuse_chain(chain, make_lists(), late, waits(100ms)).has_value());
+    CHECK_FALSE(refuse_chain(chain, testing::make_chain_lists(), late, waits(100ms)).has_value());
 }
 
 TEST(chain_admission, less_urgent_requests_yield_first) {
@@ -85,6 +76,6 @@
     patient.objective = start + 900ms;
     // WHEN both come
     // THEN only the less urgent one is refused
-    CHECK_FALSE(refuse_chain(chain, make_lists(), urgent, waits(250ms)).has_value());
-    CHECK_TRUE(refuse_chain(chain, make_lists(), patient, waits(250ms)).has_value());
+    CHECK_FALSE(refuse_chain(chain, testing::make_chain_lists(), urgent, waits(250ms)).has_value());
+    CHECK_TRUE(refuse_chain(chain, testing::make_chain_lists(), patient, waits(250ms)).has_value());
 }
--- a/src/serving/tests/stage_chain_tests.cpp
+++ b/src/serving/tests/stage_chain_tests.cpp
@@ -1,4 +1,5 @@
 #include "serving/stage_chain.h"
+#include "serving/tests/chain_lists.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -14,17 +15,6 @@
     return one;
 }
 
-catalogue make_lists() {
-    catalogue lists;
-    for (const char* name : {"a", "b", "c"}) {
-        pool_limits pool;
-        pool.name = {name};
-        pool.stage = stage_limits{8, 150, 10, 36, 4000ms};
-        lists.pools[pool.name] = pool;
-    }
-    return lists;
-}
-
 void make(stage_chain& chain, std::size_t stage, std::vector<std::string> results) {
     chain.stages[stage].state = stage_state::made;
     chain.stages[stage].results = std::move(results);
@@ -77,7 +67,7 @@
 TEST(stage_chain, the_time_ahead_is_that_of_the_longest_way) {
     // GIVEN calls of 150 ms and 10 ms a piece, at most 8 pieces a call
     stage_chain chain = make_stage_chain(make_route(), std::vector<int>{2, 1, 8, 16});
-    const catalogue lists = make_lists();
+    const catalogue lists = testing::make_chain_lists();
     // WHEN nothing is made
     // THEN the way through stages 1, 2 and 3 counts: 160 + 230 + 230
     LONGS_EQUAL(620, time_ahead(chain, lists).count());
