--- a/src/decision_log/decision_log.h
+++ b/src/decision_log/decision_log.h
@@ -31,9 +31,9 @@
 };
 
 struct decision_log_settings {
-    int descriptor{1};                  //!< standard output
-    double lines_per_second{400};       //!< 0.25 of a core spends about 1% on this many
-    double burst{800};                  //!< lines written at once after a quiet time
+    int descriptor{1};             //!< standard output
+    double lines_per_second{400};  //!< 0.25 of a core spends about 1% on this many
+    double burst{800};             //!< lines written at once after a quiet time
     std::size_t most_bytes{std::size_t{64} * 1024};  //!< waiting to be written
 };
 
