--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -260,19 +260,4 @@
     }
 }
 
-double known_load(const placement_state& state, const fleet_view& view, const pool_name& pool,
-                  instant now) {
-    double taken = 0;
-    double places = 0;
-    for (const serving_upstream& one : upstreams_of(view, pool)) {
-        const auto record = state.records.find(one.id);
-        places += one.slots;
-        if (record != state.records.end()) {
-            const auto value = to_candidate(record->second, one, one.slots, now);
-            taken += std::min(1.0, corrected_load(value)) * one.slots;
-        }
-    }
-    return places == 0 ? 1 : taken / places;
-}
-
 }  // namespace cyclamenmount
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -85,8 +85,4 @@
                instant now);
 void note_ended(placement_state& state, const upstream_id& from, sent_end end, instant now);
 
-//! Part of the pool's places that are taken as far as known, from 0.
-double known_load(const placement_state& state, const fleet_view& view, const pool_name& pool,
-                  instant now);
-
 }  // namespace cyclamenmount
