cyclamenctl explain: a request's story from the logs of several instances; times in the log

Cause: lines had no time of their own, and finding a request's cause meant grepping every instance's log and putting lines in order by hand.

--- a/src/app/ctl_main.cpp
+++ b/src/app/ctl_main.cpp
@@ -14,7 +14,8 @@
 
 using namespace cyclamenmount;
 
-constexpr std::size_t max_file_bytes = std::size_t{1024} * 1024;
+//! Logs of several instances; an instance refuses lists that are too long by its own limit.
+constexpr std::size_t max_file_bytes = std::size_t{256} * 1024 * 1024;
 constexpr unsigned watchdog_seconds = 120;
 
 struct option_closer {
--- a/src/ctl/ctl.cpp
+++ b/src/ctl/ctl.cpp
@@ -20,6 +20,7 @@
         {"status", &detail::run_status},     {"versions", &detail::run_read},
         {"dump", &detail::run_read},         {"metrics", &detail::run_read},
         {"request", &detail::run_request},   {"call", &detail::run_service},
+        {"explain", &detail::run_explain},
     };
     return all;
 }
@@ -49,6 +50,9 @@
            "  versions | dump | metrics        raw state of the instance\n"
            "  request PIPELINE INPUT           run a pipeline by hand and show its costs\n"
            "  call SERVICE OPERATION BODY      call a plain service by hand\n"
+           "  explain ID LOG...                tell a request's story from instances' logs; - "
+           "reads\n"
+           "                                   standard input\n"
            "Exit codes: 0 done, 1 failed, 2 usage, 3 faults in the list, 4 changed meanwhile,\n"
            "  5 not known whether accepted, 6 not in force everywhere in time, 7 refused\n";
 }
--- a/src/ctl/internal/commands.h
+++ b/src/ctl/internal/commands.h
@@ -18,4 +18,7 @@
 exit_code run_service(const ctl_options& options, const std::vector<std::string>& words,
                       const ctl_world& world);
 
+exit_code run_explain(const ctl_options& options, const std::vector<std::string>& words,
+                      const ctl_world& world);
+
 }  // namespace cyclamenmount::detail
--- a/src/decision_log/decision_log.cpp
+++ b/src/decision_log/decision_log.cpp
@@ -1,6 +1,8 @@
 #include "decision_log/decision_log.h"
 
 #include <algorithm>
+#include <array>
+#include <ctime>
 
 #include <poll.h>
 #include <unistd.h>
@@ -22,6 +24,20 @@
     return poll(&watched, 1, 0) == 1 && (watched.revents & POLLOUT) != 0;
 }
 
+//! Time of day in UTC with milliseconds and a blank, e.g. `2026-12-04T09:11:09.123Z `.
+std::string time_text() {
+    timespec now{};
+    clock_gettime(CLOCK_REALTIME, &now);
+    tm parts{};
+    gmtime_r(&now.tv_sec, &parts);
+    std::array<char, 40> text{};
+    const std::size_t size = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    constexpr long ns_per_ms = 1'000'000;
+    std::string ms = std::to_string(now.tv_nsec / ns_per_ms);
+    ms.insert(0, 3 - ms.size(), '0');
+    return std::string(text.data(), size) + '.' + ms + "Z ";
+}
+
 }  // namespace
 
 log_entry& log_entry::add(std::string_view name, std::string_view value) {
@@ -73,6 +89,9 @@
         waiting_ += '\n';
         dropped_told_ = dropped_;
     }
+    if (settings_.has_time) {
+        waiting_.append(time_text());
+    }
     waiting_.append(entry.text());
     waiting_ += '\n';
 }
--- a/src/decision_log/decision_log.h
+++ b/src/decision_log/decision_log.h
@@ -1,4 +1,4 @@
-//! Structured log lines on standard output: `event key=value ...`, one a decision.
+//! Structured log lines on standard output: `[time] event key=value ...`, one a decision.
 //!
 //! Lines are collected and written together. Volume is bounded: beyond the rate, and while standard
 //! output takes nothing, lines are dropped and counted. Writing never blocks.
@@ -35,6 +35,7 @@
     double lines_per_second{400};  //!< 0.25 of a core spends about 1% on this many
     double burst{800};             //!< lines written at once after a quiet time
     std::size_t most_bytes{std::size_t{64} * 1024};  //!< waiting to be written
+    bool has_time{false};  //!< lines begin with the time of day; ours, as collectors add their own
 };
 
 //! Safe to call from any thread.
--- a/src/decision_log/tests/decision_log_tests.cpp
+++ b/src/decision_log/tests/decision_log_tests.cpp
@@ -54,6 +54,21 @@
     STRCMP_EQUAL("refused request=r1 why=\"too \\\"late\\\"\" ms=7\n", ends.read_all().c_str());
 }
 
+TEST(decision_log, lines_can_begin_with_the_time_of_day) {
+    // GIVEN a log with times
+    const pipe_ends ends;
+    decision_log log({ends.write_end, 100, 100, 4096, true});
+    // WHEN a line is written
+    log.write(log_entry("started"));
+    log.flush();
+    // THEN it begins with a UTC time to the millisecond
+    const std::string line = ends.read_all();
+    LONGS_EQUAL(std::string("2026-12-04T09:11:09.123Z started\n").size(), line.size());
+    STRCMP_EQUAL("Z started\n", line.substr(23).c_str());
+    LONGS_EQUAL('T', line[10]);
+    LONGS_EQUAL('.', line[19]);
+}
+
 TEST(decision_log, lines_beyond_the_burst_are_counted_and_the_count_is_told) {
     // GIVEN a log that takes two lines at once and then a thousand a second
     const pipe_ends ends;
