--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -44,7 +44,9 @@
                                                             "pieces_request",
                                                             "pieces_cancel",
                                                             "pieces_release",
-                                                            "pieces_reply"};
+                                                            "pieces_reply",
+                                                            "news_request",
+                                                            "news_reply"};
 
 //! Follows the parser without keeping anything; stops it at inputs nested too deeply, on which the
 //! library's recursive parser would use up the stack.
--- a/src/codec/field_names.cpp
+++ b/src/codec/field_names.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 //! The position is the wire form: new names go to the end, and none is taken out.
-constexpr std::array<std::string_view, 82> field_names = {"kind",
+constexpr std::array<std::string_view, 84> field_names = {"kind",
                                                           "from",
                                                           "sequence",
                                                           "versions",
@@ -90,7 +90,9 @@
                                                           "retry_after",
                                                           "bytes_to_zone",
                                                           "pool_wait",
-                                                          "millicores"};
+                                                          "millicores",
+                                                          "age",
+                                                          "topics"};
 
 constexpr char first_short_name = '!';
 constexpr char last_printable = '~';
--- a/src/codec/tests/codec_tests.cpp
+++ b/src/codec/tests/codec_tests.cpp
@@ -35,6 +35,8 @@
     samples.push_back(share_report{1, {{{"w"}, 0.1, 3, 2, 1e9}}, 5, 4});
     samples.push_back(permit_reply{1, 2, permit_verdict::done, "p", {true, 200, "body"}});
     samples.push_back(claim_reply{1, 2, claim_verdict::join, {"r"}, a, {{{"s"}, "out"}}});
+    samples.push_back(news_request{a, 7, {{"t", 5}}});
+    samples.push_back(news_reply{7, {{"t", 9, 20ms, {{5, 9, "{}"}}}}});
     samples.push_back(suspects_notice{{{{"f"}, {"i1", "i2"}, true}}});
     return samples;
 }
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -327,6 +327,40 @@
     milliseconds pool_wait{0};         //!< what a further order would wait for its call to begin
 };
 
+// --- news of the store --------------------------------------------------------------------------
+
+//! How far somebody follows one topic: a part of the store that is read by itself.
+struct news_position {
+    std::string name;           //!< of the topic
+    object_version version{0};  //!< position in the store's history
+};
+
+//! Asks a peer that reads the store for what came after these positions.
+struct news_request {
+    member from;
+    std::uint64_t sequence{0};  //!< of the sender; the reply repeats it
+    std::vector<news_position> known;
+};
+
+//! What the store said of a topic's changes.
+struct news_page {
+    object_version base{0};     //!< the changes after this position
+    object_version version{0};  //!< up to this one
+    std::string text;           //!< as the store wrote it
+};
+
+struct topic_news {
+    std::string name;
+    object_version version{0};  //!< the sender's position
+    milliseconds age{0};        //!< since the store is known to have held nothing newer
+    std::vector<news_page> changes;
+};
+
+struct news_reply {
+    std::uint64_t sequence{0};
+    std::vector<topic_news> topics;
+};
+
 using peer_message =
     std::variant<ping, pong, roster_notice, document_request, document_notice, emergency_notice,
                  cold_notice, report_notice, slot_request, slot_reply, slot_release,
@@ -334,6 +368,6 @@
                  permit_request, permit_reply, permit_return, permit_outcome, claim_request,
                  claim_reply, claim_progress, claim_end, suspects_notice, trial_request,
                  trial_reply, trial_end, pieces_request, pieces_cancel, pieces_release,
-                 pieces_reply>;
+                 pieces_reply, news_request, news_reply>;
 
 }  // namespace cyclamenmount
