--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,5 +1,6 @@
 #include "placement/placement.h"
 
+#include "coordination/roster/roster.h"
 #include "routing/choose.h"
 
 #include <algorithm>
@@ -47,13 +48,24 @@
     return found == view.lists->pools.end() ? nullptr : &found->second;
 }
 
+//! How many members rank before this instance for the upstream.
+int rank_for(const placement_state& state, const fleet_view& view, const upstream_id& upstream) {
+    const auto own = rendezvous_weight({state.settings.address}, upstream.value);
+    return static_cast<int>(std::ranges::count_if(view.members, [&](const member& one) {
+        return rendezvous_weight({one.address}, upstream.value) > own;
+    }));
+}
+
 //! Requests a second that this instance may send to one cold upstream: its part of what all
-//! instances may send together.
-int cold_allowance(const placement_state& state, const fleet_view& view, const pool_limits& pool) {
-    const auto instances = static_cast<double>(std::max<std::size_t>(1, view.members.size()));
-    const double all =
-        pool.cold_per_second * state.settings.cold_overshoot + state.settings.cold_extra;
-    return static_cast<int>(std::floor(all / instances));
+//! instances may send together. What doesn't divide goes to those that rank first, so that a fleet
+//! larger than the rate still uses cold upstreams.
+int cold_allowance(const placement_state& state, const fleet_view& view, const pool_limits& pool,
+                   const upstream_id& upstream) {
+    const int instances = static_cast<int>(std::max<std::size_t>(1, view.members.size()));
+    const int all = static_cast<int>(std::floor(
+        pool.cold_per_second * state.settings.cold_overshoot + state.settings.cold_extra));
+    const bool has_rest = rank_for(state, view, upstream) < all % instances;
+    return all / instances + (has_rest ? 1 : 0);
 }
 
 bool is_cold(const serving_upstream& upstream, instant now) {
@@ -66,7 +78,7 @@
     while (!starts.empty() && now - starts.front() > cold_window) {
         starts.pop_front();
     }
-    return static_cast<int>(starts.size()) < cold_allowance(state, view, pool);
+    return static_cast<int>(starts.size()) < cold_allowance(state, view, pool, upstream.id);
 }
 
 bool is_avoided(const placement_state& state, const upstream_record& record, instant now) {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -53,6 +53,7 @@
 struct placement_settings {
     double cold_overshoot{1.5};  //!< factor on the rate that a cold upstream tolerates
     double cold_extra{5};        //!< requests a second that it tolerates besides
+    std::string address;         //!< of this instance, as its peers know it
 };
 
 struct placement_state {
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -28,7 +28,10 @@
     fleet_view view;
     view.lists = lists;
     view.pools[pool] = std::move(upstreams);
-    view.members.resize(instances);
+    for (std::size_t i = 0; i < instances; ++i) {
+        const std::string name = "i" + std::to_string(i);
+        view.members.push_back({{name}, name + ":7", {"z1"}});
+    }
     return view;
 }
 
@@ -121,6 +124,7 @@
 TEST(placement, cold_upstreams_get_work_only_without_warm_ones_and_at_their_rate) {
     // GIVEN one cold upstream that tolerates 9.3 x 1.5 + 5 = 18 requests a second, and 2 instances
     placement_state state;
+    state.settings.address = "i0:7";
     serving_upstream cold = make_upstream("cold", "z1", 64);
     cold.cold_until = start + 3s;
     const fleet_view alone = make_view({cold});
@@ -142,6 +146,27 @@
     CHECK_TRUE(place(state, alone, make_wanted(false), start + 1001ms).has_value());
 }
 
+TEST(placement, a_fleet_larger_than_the_cold_rate_uses_all_of_it_and_no_more) {
+    // GIVEN 64 instances and a cold upstream that tolerates 18 requests a second
+    serving_upstream cold = make_upstream("cold", "z1", 64);
+    cold.cold_until = start + 3s;
+    const fleet_view view = make_view({cold}, 64);
+    int sent = 0;
+    for (const member& one : view.members) {
+        // WHEN each has many requests at once
+        placement_state state;
+        state.settings.address = one.address;
+        for (int i = 0; i < 5; ++i) {
+            if (const auto chosen = place(state, view, make_wanted(false), start)) {
+                note_sent(state, *chosen, 0, start);
+                ++sent;
+            }
+        }
+    }
+    // THEN together they send what it tolerates
+    LONGS_EQUAL(18, sent);
+}
+
 TEST(placement, plain_requests_stay_in_their_zone_until_it_is_loaded) {
     // GIVEN upstreams in two zones
     placement_state state;
--- a/src/serving/beliefs.cpp
+++ b/src/serving/beliefs.cpp
@@ -15,10 +15,11 @@
     return !state.store_reached || now < state.store_regained_at + reregistration_time;
 }
 
-void write(beliefs& state, const upstream_written& news, changes& out) {
+//! False if the entry is older than what is known.
+bool write(beliefs& state, const upstream_written& news, changes& out) {
     const auto known = state.upstreams.find(news.upstream.id);
     if (known != state.upstreams.end() && known->second.revision >= news.revision) {
-        return;
+        return false;
     }
     const bool is_new = known == state.upstreams.end() || known->second.is_gone;
     const bool leaves = news.upstream.is_leaving && (is_new || !known->second.value.is_leaving);
@@ -28,6 +29,7 @@
     } else if (is_new) {
         out.push_back({"upstream_joined", news.upstream.id.value, news.revision});
     }
+    return true;
 }
 
 void remove(beliefs& state, const upstream_id& id, std::uint64_t revision, instant now,
@@ -89,74 +91,72 @@
 beliefs_outcome reduce(beliefs& state, const store_news& news, instant now) {
     beliefs_outcome outcome;
     changes& out = outcome.changes;
-    bool members_changed = false;
-    std::visit(overloaded{
-                   [&](const catalogue_read& read) {
-                       if (!state.lists || read.lists.version > state.lists->version) {
-                           state.lists = std::make_shared<const catalogue>(read.lists);
-                           out.push_back({"configuration", "main", read.lists.version});
-                       }
-                   },
-                   [&](const upstreams_listed& listed) {
-                       members_changed = !state.upstreams_known;
-                       replace_all(state, listed, now, out);
-                   },
-                   [&](const upstream_written& written) {
-                       write(state, written, out);
-                       members_changed = true;
-                   },
-                   [&](const upstream_removed& removed) {
-                       remove(state, removed.id, removed.revision, now, out);
-                   },
-                   [&](const zones_out_listed& listed) {
-                       if (listed.zones != state.zones_out) {
-                           state.zones_out = listed.zones;
-                           out.push_back({"zones_out", std::to_string(listed.zones.size()), 0});
-                       }
-                   },
-                   [&](const zone_taken_out& taken) {
-                       if (state.zones_out.insert(taken.zone).second) {
-                           out.push_back({"zone_out", taken.zone.value, 0});
-                       }
-                   },
-                   [&](const zone_returned& returned) {
-                       if (state.zones_out.erase(returned.zone) != 0) {
-                           out.push_back({"zone_back", returned.zone.value, 0});
-                       }
-                   },
-                   [&](const members_listed& listed) {
-                       std::map<std::string, member> members;
-                       for (const member& one : listed.members) {
-                           members[one.address] = one;
-                       }
-                       members_changed = members != state.members;
-                       state.members = std::move(members);
-                   },
-                   [&](const member_written& written) {
-                       members_changed = !(state.members[written.value.address] == written.value);
-                       state.members[written.value.address] = written.value;
-                   },
-                   [&](const member_removed& removed) {
-                       members_changed = state.members.erase(removed.address) != 0;
-                   },
-                   [&](const store_lost&) {
-                       if (state.store_reached) {
-                           state.store_reached = false;
-                           out.push_back({"store_lost", "store", 0});
-                       }
-                   },
-                   [&](const store_regained&) {
-                       if (!state.store_reached) {
-                           state.store_reached = true;
-                           state.store_regained_at = now;
-                           out.push_back({"store_regained", "store", 0});
-                       }
-                   },
-                   [](const beliefs_tick&) {},
-               },
-               news);
+    bool is_changed = false;  // also where the log has nothing to tell
+    std::visit(
+        overloaded{
+            [&](const catalogue_read& read) {
+                if (!state.lists || read.lists.version > state.lists->version) {
+                    state.lists = std::make_shared<const catalogue>(read.lists);
+                    out.push_back({"configuration", "main", read.lists.version});
+                }
+            },
+            [&](const upstreams_listed& listed) {
+                is_changed = !state.upstreams_known;
+                replace_all(state, listed, now, out);
+            },
+            [&](const upstream_written& written) { is_changed = write(state, written, out); },
+            [&](const upstream_removed& removed) {
+                remove(state, removed.id, removed.revision, now, out);
+            },
+            [&](const zones_out_listed& listed) {
+                if (listed.zones != state.zones_out) {
+                    state.zones_out = listed.zones;
+                    out.push_back({"zones_out", std::to_string(listed.zones.size()), 0});
+                }
+            },
+            [&](const zone_taken_out& taken) {
+                if (state.zones_out.insert(taken.zone).second) {
+                    out.push_back({"zone_out", taken.zone.value, 0});
+                }
+            },
+            [&](const zone_returned& returned) {
+                if (state.zones_out.erase(returned.zone) != 0) {
+                    out.push_back({"zone_back", returned.zone.value, 0});
+                }
+            },
+            [&](const members_listed& listed) {
+                std::map<std::string, member> members;
+                for (const member& one : listed.members) {
+                    members[one.address] = one;
+                }
+                is_changed = members != state.members;
+                state.members = std::move(members);
+            },
+            [&](const member_written& written) {
+                is_changed = !(state.members[written.value.address] == written.value);
+                state.members[written.value.address] = written.value;
+            },
+            [&](const member_removed& removed) {
+                is_changed = state.members.erase(removed.address) != 0;
+            },
+            [&](const store_lost&) {
+                if (state.store_reached) {
+                    state.store_reached = false;
+                    out.push_back({"store_lost", "store", 0});
+                }
+            },
+            [&](const store_regained&) {
+                if (!state.store_reached) {
+                    state.store_reached = true;
+                    state.store_regained_at = now;
+                    out.push_back({"store_regained", "store", 0});
+                }
+            },
+            [](const beliefs_tick&) {},
+        },
+        news);
     const bool dropped = drop_expired(state, now);
-    if (dropped || members_changed || !out.empty()) {
+    if (dropped || is_changed || !out.empty()) {
         outcome.view = make_view(state);
     }
     return outcome;
--- a/src/serving/chain_admission.cpp
+++ b/src/serving/chain_admission.cpp
@@ -24,8 +24,7 @@
 milliseconds longest_way(const stage_chain& chain, std::size_t stage, const wait_function& wait) {
     milliseconds longest{0};
     for (std::size_t later = stage + 1; later < chain.stages.size(); ++later) {
-        const auto& after = chain.stages[later].after;
-        if (std::find(after.begin(), after.end(), stage) != after.end()) {
+        if (follows(chain.stages[later], stage)) {
             longest = std::max(longest, longest_way(chain, later, wait));
         }
     }
--- a/src/serving/stage_chain.cpp
+++ b/src/serving/stage_chain.cpp
@@ -2,11 +2,19 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cyclamenmount {
 
+bool follows(const chain_stage& later, std::size_t earlier) {
+    return std::find(later.after.begin(), later.after.end(), earlier) != later.after.end();
+}
+
 namespace {
 
+//! A request whose results are lost twice is better refused: its objective has passed.
+constexpr int most_restarts = 1;
+
 //! Time of one call that makes all pieces of the stage, or a full call if there are more.
 double call_time_ms(const chain_stage& stage, const catalogue& lists) {
     const auto pool = lists.pools.find(stage.pool);
@@ -21,10 +29,6 @@
     return stage.state == stage_state::made || stage.pieces == 0;
 }
 
-bool follows(const chain_stage& later, std::size_t earlier) {
-    return std::find(later.after.begin(), later.after.end(), earlier) != later.after.end();
-}
-
 //! Longest way from `stage` to the end, `stage` included. Stages only come after earlier ones.
 double way_from(const stage_chain& chain, std::size_t stage, const catalogue& lists) {
     double longest = 0;
@@ -44,7 +48,8 @@
     for (std::size_t i = 0; i < from.stages.size(); ++i) {
         const route_stage& stage = from.stages[i];
         const int count = i < pieces.size() ? std::max(pieces[i], 0) : 0;
-        chain.stages.push_back({stage.pool, stage.after, count, stage.result_bytes, {}, {}, {}});
+        chain.stages.push_back(
+            {stage.pool, stage.after, count, stage.result_bytes, {}, {}, {}, {}});
     }
     return chain;
 }
@@ -92,12 +97,27 @@
     return results;
 }
 
-std::vector<std::string> all_results(const stage_chain& chain) {
-    std::vector<std::string> results;
-    for (const chain_stage& stage : chain.stages) {
-        results.insert(results.end(), stage.results.begin(), stage.results.end());
+std::vector<unneeded_results> take_inputs_used(stage_chain& chain, std::size_t made) {
+    std::vector<unneeded_results> unneeded;
+    for (const std::size_t earlier : chain.stages[made].after) {
+        const bool is_needed =
+            std::any_of(chain.stages.begin(), chain.stages.end(), [&](const chain_stage& later) {
+                return follows(later, earlier) && !is_done(later);
+            });
+        if (!is_needed) {
+            chain_stage& one = chain.stages[earlier];
+            unneeded.push_back({one.pool, std::exchange(one.results, {})});
+        }
     }
-    return results;
+    return unneeded;
+}
+
+std::vector<unneeded_results> take_all_results(stage_chain& chain) {
+    std::vector<unneeded_results> unneeded;
+    for (chain_stage& one : chain.stages) {
+        unneeded.push_back({one.pool, std::exchange(one.results, {})});
+    }
+    return unneeded;
 }
 
 void restart(stage_chain& chain) {
@@ -109,6 +129,10 @@
     ++chain.restarts;
 }
 
+bool may_restart(const stage_chain& chain) {
+    return chain.restarts < most_restarts;
+}
+
 milliseconds time_ahead(const stage_chain& chain, const catalogue& lists) {
     double longest = 0;
     for (std::size_t i = 0; i < chain.stages.size(); ++i) {
@@ -127,6 +151,23 @@
     return milliseconds(std::lround(longest));
 }
 
+instant results_allow(const stage_chain& chain, std::size_t stage, const catalogue& lists) {
+    const auto& inputs = chain.stages[stage].after;
+    const milliseconds after = time_after(chain, stage, lists);
+    instant latest = instant::max();
+    for (std::size_t i = 0; i < chain.stages.size(); ++i) {
+        const chain_stage& made = chain.stages[i];
+        const auto pool = lists.pools.find(made.pool);
+        if (made.results.empty() || pool == lists.pools.end() || !pool->second.stage) {
+            continue;
+        }
+        const bool is_input = std::find(inputs.begin(), inputs.end(), i) != inputs.end();
+        const instant gone = made.made_at + pool->second.stage->kept;
+        latest = std::min(latest, is_input ? gone : gone - after);
+    }
+    return latest;
+}
+
 int depth_of(const stage_chain& chain, std::size_t stage) {
     int deepest = 0;
     for (const std::size_t earlier : chain.stages[stage].after) {
--- a/src/serving/stage_chain.h
+++ b/src/serving/stage_chain.h
@@ -19,6 +19,7 @@
     stage_state state{stage_state::waiting};
     std::vector<std::string> results;  //!< one handle a piece, in order
     zone_name zone;                    //!< where the results lie; empty if unknown
+    instant made_at{};
 };
 
 struct stage_chain {
@@ -43,18 +44,37 @@
 //! Results of the stages that no other stage follows; the request itself takes them.
 std::vector<std::string> final_results(const stage_chain& chain);
 
-//! Every result that has been made, with its size, so that it can be released.
-std::vector<std::string> all_results(const stage_chain& chain);
+//! True if `later` takes the results of the stage with this index.
+bool follows(const chain_stage& later, std::size_t earlier);
 
-//! Forgets all results after one of them was lost with its maker.
+//! Results that their makers can forget.
+struct unneeded_results {
+    pool_name pool;
+    std::vector<std::string> results;
+};
+
+//! Takes out the results that were only inputs of `made` and of other stages that are made too.
+std::vector<unneeded_results> take_inputs_used(stage_chain& chain, std::size_t made);
+
+//! Takes out all results.
+std::vector<unneeded_results> take_all_results(stage_chain& chain);
+
+//! Begins anew after a result was lost with its maker.
 void restart(stage_chain& chain);
 
+//! Whether a chain with a lost result is made once more.
+bool may_restart(const stage_chain& chain);
+
 //! Shortest time that the stages still to be made take one after the other, without any waiting.
 milliseconds time_ahead(const stage_chain& chain, const catalogue& lists);
 
 //! The same for what comes after `stage`, without `stage` itself.
 milliseconds time_after(const stage_chain& chain, std::size_t stage, const catalogue& lists);
 
+//! When `stage` must be made at the latest, so that the results made so far live until they are
+//! used: its inputs until its call begins, the others until the request itself takes them.
+instant results_allow(const stage_chain& chain, std::size_t stage, const catalogue& lists);
+
 //! How many stages the longest way to `stage` has behind it.
 int depth_of(const stage_chain& chain, std::size_t stage);
 
--- a/src/serving/tests/beliefs_tests.cpp
+++ b/src/serving/tests/beliefs_tests.cpp
@@ -68,9 +68,12 @@
     // WHEN an event of revision 9 comes late
     serving_upstream leaving = make_upstream("u1");
     leaving.is_leaving = true;
-    reduce(state, upstream_written{leaving, 9}, start + 1s);
-    reduce(state, upstream_removed{{"u2"}, 9}, start + 1s);
-    // THEN both upstreams are still in use
+    const auto written = reduce(state, upstream_written{leaving, 9}, start + 1s);
+    const auto removed = reduce(state, upstream_removed{{"u2"}, 9}, start + 1s);
+    // THEN no new view is made
+    POINTERS_EQUAL(nullptr, written.view.get());
+    POINTERS_EQUAL(nullptr, removed.view.get());
+    // AND both upstreams are still in use
     CHECK_FALSE(state.upstreams.at({"u1"}).value.is_leaving);
     CHECK_FALSE(state.upstreams.at({"u2"}).is_gone);
 }
--- a/src/serving/tests/stage_chain_tests.cpp
+++ b/src/serving/tests/stage_chain_tests.cpp
@@ -87,5 +87,52 @@
     restart(chain);
     // THEN it begins anew and counts the restart
     CHECK_TRUE(startable_stages(chain) == (std::vector<std::size_t>{0, 1}));
-    LONGS_EQUAL(1, chain.restarts);
+    // AND may not do so again
+    CHECK_FALSE(may_restart(chain));
+}
+
+TEST(stage_chain, results_are_given_back_once_every_stage_that_follows_is_made) {
+    // GIVEN two stages made, one after the other
+    stage_chain chain = make_stage_chain(make_route(), std::vector<int>{1, 1, 1, 1});
+    make(chain, 1, {"h1"});
+    LONGS_EQUAL(0, take_inputs_used(chain, 1).size());
+    make(chain, 2, {"h2"});
+    // WHEN the second is made
+    const auto unneeded = take_inputs_used(chain, 2);
+    // THEN the results of the first are taken out, and its own are kept for the third
+    LONGS_EQUAL(1, unneeded.size());
+    CHECK_TRUE(unneeded[0].results == std::vector<std::string>{"h1"});
+    CHECK_TRUE(chain.stages[1].results.empty());
+    CHECK_TRUE(chain.stages[2].results == std::vector<std::string>{"h2"});
+}
+
+TEST(stage_chain, results_of_a_stage_that_two_others_follow_stay_until_both_are_made) {
+    // GIVEN a stage that two others follow, one of which is made
+    stage_chain chain = make_stage_chain(make_route(), std::vector<int>{1, 1, 1, 1});
+    chain.stages[3].after = {1};
+    make(chain, 1, {"h1"});
+    make(chain, 2, {"h2"});
+    // WHEN that one is made
+    // THEN nothing is taken out
+    LONGS_EQUAL(0, take_inputs_used(chain, 2).size());
+    // WHEN the other is made too
+    make(chain, 3, {"h3"});
+    // THEN the shared inputs are
+    LONGS_EQUAL(1, take_inputs_used(chain, 3).size());
+}
+
+TEST(stage_chain, a_stage_must_be_made_while_the_results_before_it_live) {
+    // GIVEN results that live for 4 s: an input made at 10 s, and one for the request made at 9 s
+    stage_chain chain = make_stage_chain(make_route(), std::vector<int>{2, 1, 8, 16});
+    const catalogue lists = testing::make_chain_lists();
+    make(chain, 0, {"x", "y"});
+    chain.stages[0].made_at = instant(9s);
+    make(chain, 1, {"h1"});
+    chain.stages[1].made_at = instant(10s);
+    // WHEN the next stage is to be ordered, after which one of 230 ms comes
+    // THEN the request's own input decides, less what is left after the stage
+    LONGS_EQUAL(13'000 - 230, results_allow(chain, 2, lists).time_since_epoch().count());
+    // AND without any results nothing does
+    CHECK_TRUE(results_allow(make_stage_chain(make_route(), std::vector<int>{1, 1, 1, 1}), 0,
+                             lists) == instant::max());
 }
