--- a/src/serving/stage_chain.cpp
+++ b/src/serving/stage_chain.cpp
@@ -49,7 +49,7 @@
         const route_stage& stage = from.stages[i];
         const int count = i < pieces.size() ? std::max(pieces[i], 0) : 0;
         chain.stages.push_back(
-            {stage.pool, stage.after, count, stage.result_bytes, {}, {}, {}, {}});
+            {stage.pool, stage.after, count, stage.result_bytes, {}, {}, {}, {}, {}});
     }
     return chain;
 }
--- a/src/serving/stage_chain.h
+++ b/src/serving/stage_chain.h
@@ -19,6 +19,7 @@
     stage_state state{stage_state::waiting};
     std::vector<std::string> results;  //!< one handle a piece, in order
     zone_name zone;                    //!< where the results lie; empty if unknown
+    instant ordered_at{};
     instant made_at{};
 };
 
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -93,6 +93,7 @@
     std::map<labels, duration_series> stage_busy_ms;
     counter_series requests;
     counter_series in_time;
+    counter_series in_objective;
     counter_series refusals;
     counter_series attempts;
     counter_series tokens;
@@ -134,6 +135,9 @@
                             1);
     } else {
         impl_->in_time.add(key, ended.took <= ended.deadline ? 1 : 0);
+        if (ended.in_objective) {
+            impl_->in_objective.add(key, *ended.in_objective ? 1 : 0);
+        }
         impl_->request_ms[target].add(ended.took);
         if (ended.first_frame > milliseconds(0)) {
             impl_->first_frame_ms[target].add(ended.first_frame);
@@ -154,6 +158,7 @@
     std::ostringstream out;
     write_counter(out, "cyclamenmount_requests_total", impl_->requests);
     write_counter(out, "cyclamenmount_requests_in_time_total", impl_->in_time);
+    write_counter(out, "cyclamenmount_requests_in_objective_total", impl_->in_objective);
     write_counter(out, "cyclamenmount_refusals_total", impl_->refusals);
     write_counter(out, "cyclamenmount_stage_attempts_total", impl_->attempts);
     write_counter(out, "cyclamenmount_stage_tokens_total", impl_->tokens);
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -33,6 +33,8 @@
     milliseconds took{0};
     milliseconds first_frame{0};  //!< 0 if none came
     milliseconds deadline{0};
+    //! Answered, or begun, within the route's objective; none where there is no such thing.
+    std::optional<bool> in_objective;
     std::vector<stage_cost> costs;
 };
 
--- a/src/telemetry/tests/metrics_tests.cpp
+++ b/src/telemetry/tests/metrics_tests.cpp
@@ -16,10 +16,12 @@
     ended.target = "menu";
     ended.took = milliseconds(900);
     ended.deadline = milliseconds(5000);
+    ended.in_objective = true;
     ended.costs.push_back({stage_name{"encode"}, pool_name{"encoders"}, 2, milliseconds(30), 0,
                            milliseconds(10), 1, 0, false});
     page.record(ended);
     ended.took = milliseconds(6000);
+    ended.in_objective = false;
     page.record(ended);
 
     // WHEN the page is written
@@ -31,6 +33,9 @@
     STRCMP_CONTAINS(
         "cyclamenmount_requests_in_time_total{target=\"menu\",workspace=\"brecon\"} 1\n",
         text.c_str());
+    STRCMP_CONTAINS(
+        "cyclamenmount_requests_in_objective_total{target=\"menu\",workspace=\"brecon\"} 1\n",
+        text.c_str());
     STRCMP_CONTAINS("cyclamenmount_stage_attempts_total{target=\"menu\",stage=\"encode\","
                     "workspace=\"brecon\"} 4\n",
                     text.c_str());
