--- a/platform/internal/async.h
+++ b/src/http_exchange/async.h
@@ -15,7 +15,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace cyclamenmount::platform {
+namespace cyclamenmount {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -61,4 +61,4 @@
     co_await timer.async_wait(waiting(ignored));
 }
 
-}  // namespace cyclamenmount::platform
+}  // namespace cyclamenmount
--- a/platform/connection.cpp
+++ b/src/http_exchange/connection.cpp
@@ -1,6 +1,6 @@
-#include "platform/connection.h"
+#include "http_exchange/connection.h"
 
-#include "platform/internal/tcp_options.h"
+#include "http_exchange/tcp_options.h"
 
 #include <charconv>
 
@@ -9,7 +9,7 @@
 #include <boost/beast/http/write.hpp>
 #include <sys/socket.h>
 
-namespace cyclamenmount::platform {
+namespace cyclamenmount {
 
 namespace {
 
@@ -238,4 +238,4 @@
     co_return reply;
 }
 
-}  // namespace cyclamenmount::platform
+}  // namespace cyclamenmount
--- a/platform/connection.h
+++ b/src/http_exchange/connection.h
@@ -1,7 +1,7 @@
-//! Connections to upstreams and the store, and HTTP exchanges on them.
+//! Connections to servers on Boost.Asio, and HTTP exchanges on them.
 #pragma once
 
-#include "platform/internal/async.h"
+#include "http_exchange/async.h"
 #include "types/errors.h"
 
 #include <deque>
@@ -18,7 +18,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-namespace cyclamenmount::platform {
+namespace cyclamenmount {
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
@@ -137,4 +137,4 @@
 //! Whether the connection may be used again after this answer, and sets how long it may be idle.
 bool may_be_kept(connection& used, const http::response_header<>& answer, bool keep_alive);
 
-}  // namespace cyclamenmount::platform
+}  // namespace cyclamenmount
--- a/platform/tcp_options.cpp
+++ b/src/http_exchange/tcp_options.cpp
@@ -1,10 +1,10 @@
-#include "platform/internal/tcp_options.h"
+#include "http_exchange/tcp_options.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace cyclamenmount::platform {
+namespace cyclamenmount {
 
 namespace {
 
@@ -32,4 +32,4 @@
     set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_ms);
 }
 
-}  // namespace cyclamenmount::platform
+}  // namespace cyclamenmount
