One view for a page of news

Every entry of the store made a view of its own, and a view copies all upstreams: 3,000 entries at 300 instances are 900,000 views of 3,000. Change: beliefs take all news of one page and make one view. The test counts views of 500 entries.

--- a/src/serving/beliefs.cpp
+++ b/src/serving/beliefs.cpp
@@ -86,12 +86,9 @@
     return view;
 }
 
-}  // namespace
-
-beliefs_outcome reduce(beliefs& state, const store_news& news, instant now) {
-    beliefs_outcome outcome;
-    changes& out = outcome.changes;
-    bool is_changed = false;  // also where the log has nothing to tell
+//! True if the view has to change, also where the log has nothing to tell.
+bool take(beliefs& state, const store_news& news, instant now, changes& out) {
+    bool is_changed = false;
     std::visit(
         overloaded{
             [&](const catalogue_read& read) {
@@ -155,11 +152,26 @@
             [](const beliefs_tick&) {},
         },
         news);
+    return is_changed;
+}
+
+}  // namespace
+
+beliefs_outcome reduce(beliefs& state, std::span<const store_news> news, instant now) {
+    beliefs_outcome outcome;
+    bool is_changed = false;
+    for (const store_news& one : news) {
+        is_changed = take(state, one, now, outcome.changes) || is_changed;
+    }
     const bool dropped = drop_expired(state, now);
-    if (dropped || is_changed || !out.empty()) {
+    if (dropped || is_changed || !outcome.changes.empty()) {
         outcome.view = make_view(state);
     }
     return outcome;
 }
 
+beliefs_outcome reduce(beliefs& state, const store_news& news, instant now) {
+    return reduce(state, std::span(&news, 1), now);
+}
+
 }  // namespace cyclamenmount
--- a/src/serving/beliefs.h
+++ b/src/serving/beliefs.h
@@ -102,6 +102,9 @@
 //! How long after the store's return an entry that is missing may still come back.
 inline constexpr milliseconds reregistration_time{2000};
 
+//! Several pieces of news that came together make one view, as a view holds all upstreams.
+beliefs_outcome reduce(beliefs& state, std::span<const store_news> news, instant now);
+
 beliefs_outcome reduce(beliefs& state, const store_news& news, instant now);
 
 }  // namespace cyclamenmount
--- a/src/serving/tests/beliefs_tests.cpp
+++ b/src/serving/tests/beliefs_tests.cpp
@@ -128,3 +128,20 @@
     LONGS_EQUAL(1, usable(out.view));
     LONGS_EQUAL(2, usable(back.view));
 }
+
+TEST(beliefs, news_that_comes_together_makes_one_view) {
+    // GIVEN the entries of a large fleet's upstreams, as one page of the store tells them
+    beliefs state = make_beliefs();
+    std::vector<store_news> page;
+    for (int i = 0; i < 500; ++i) {
+        const auto revision = static_cast<std::uint64_t>(11 + i);
+        page.emplace_back(upstream_written{make_upstream("n" + std::to_string(i)), revision});
+    }
+    const std::uint64_t before = state.views;
+    // WHEN they are taken
+    const auto outcome = reduce(state, page, start + 1s);
+    // THEN there is one view with all of them, and each is told of
+    LONGS_EQUAL(before + 1, state.views);
+    LONGS_EQUAL(502, usable(outcome.view));
+    LONGS_EQUAL(500, outcome.changes.size());
+}
