--- a/src/serving/tests/beliefs_tests.cpp
+++ b/src/serving/tests/beliefs_tests.cpp
@@ -133,9 +133,9 @@
     // GIVEN the entries of a large fleet's upstreams, as one page of the store tells them
     beliefs state = make_beliefs();
     std::vector<store_news> page;
-    for (int i = 0; i < 500; ++i) {
-        const auto revision = static_cast<std::uint64_t>(11 + i);
-        page.emplace_back(upstream_written{make_upstream("n" + std::to_string(i)), revision});
+    for (std::uint64_t revision = 11; revision < 511; ++revision) {
+        page.emplace_back(
+            upstream_written{make_upstream("n" + std::to_string(revision)), revision});
     }
     const std::uint64_t before = state.views;
     // WHEN they are taken
