Read once more: what stood twice, and work that was done twice

Behaviour is unchanged; tests keep their assertions. - stage_chain and chain_admission walked the chain by copies with another cost each, and had the idea of a stage that is done twice: `longest_way`, `longest_way_after` and `is_done` serve both. The end of the queue was asked for by two copies of one order: `end_of_queue`.

--- a/src/http_exchange/connection.cpp
+++ b/src/http_exchange/connection.cpp
@@ -158,6 +158,19 @@
     std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+http_request_message make_json_request(http::verb method, const std::string& target,
+                                       const std::string& host, std::string body) {
+    constexpr unsigned http_version = 11;
+    http_request_message request(method, target, http_version);
+    request.set(http::field::host, host);
+    if (!body.empty()) {
+        request.set(http::field::content_type, "application/json");
+        request.body() = std::move(body);
+    }
+    request.prepare_payload();
+    return request;
+}
+
 struct request_writer::progress {
     bool is_done{false};
     http::request_serializer<http::string_body> serializer;
--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -100,6 +100,10 @@
 
 using http_request_message = http::request<http::string_body>;
 
+//! A request with a JSON body, or none if it is empty; further headers may be set.
+http_request_message make_json_request(http::verb method, const std::string& target,
+                                       const std::string& host, std::string body);
+
 //! Sends a request. Long bodies are written while the answer is awaited already, since an upstream
 //! may answer before it has read them.
 class request_writer {
--- a/src/news/news.cpp
+++ b/src/news/news.cpp
@@ -33,10 +33,6 @@
 constexpr std::size_t most_pages = 64;
 constexpr std::size_t most_page_bytes = std::size_t{512} * 1024;
 
-milliseconds time_since(instant then, instant now) {
-    return std::chrono::duration_cast<milliseconds>(now - then);
-}
-
 std::size_t bytes_of(const topic_state& topic) {
     std::size_t sum = 0;
     for (const news_page& page : topic.pages) {
@@ -120,7 +116,7 @@
 void ask_sources(news& state, instant now, news_effects& out) {
     bool has_current = false;  // a source that isn't in doubt
     for (source_state& source : state.sources) {
-        const milliseconds waited = time_since(source.asked_at, now);
+        const milliseconds waited = now - source.asked_at;
         if (source.sequence != 0 && waited >= silence) {
             source.sequence = 0;
             judge(source, source_verdict::silent, waited, out);
@@ -147,7 +143,7 @@
             continue;
         }
         const topic_state& topic = found->second;
-        topic_news told{known.name, topic.version, time_since(topic.confirmed_at, now), {}};
+        topic_news told{known.name, topic.version, now - topic.confirmed_at, {}};
         if (known.version >= topic.complete_from) {
             std::ranges::copy_if(
                 topic.pages, std::back_inserter(told.changes),
@@ -187,7 +183,7 @@
         take_topic(state, told, source->asked_at - told.age, out);
     }
     const bool tells_all = reply.topics.size() == state.topics.size();
-    if (tells_all && oldest + time_since(source->asked_at, now) < doubtful_age) {
+    if (tells_all && oldest + (now - source->asked_at) < doubtful_age) {
         source->doubted_since = {};
         judge(*source, source_verdict::fresh, oldest, out);
         return;
--- a/src/news/news.h
+++ b/src/news/news.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -72,6 +73,18 @@
     fresh,  //!< is used again
 };
 
+constexpr std::string_view word(source_verdict value) {
+    switch (value) {
+    case source_verdict::silent:
+        return "silent";
+    case source_verdict::stale:
+        return "stale";
+    case source_verdict::fresh:
+        return "fresh";
+    }
+    return "unknown";
+}
+
 //! What this instance believes of a source has changed.
 struct source_judged {
     std::string address;
--- a/src/news/sources.cpp
+++ b/src/news/sources.cpp
@@ -3,6 +3,8 @@
 #include "coordination/roster/roster.h"
 
 #include <algorithm>
+#include <functional>
+#include <map>
 
 namespace cyclamenmount::detail {
 
@@ -37,14 +39,16 @@
     }
     // Weak machines ask but aren't asked.
     std::erase_if(group, [&](const member& one) { return 2 * one.millicores < strongest; });
-    std::ranges::sort(group,
-                      [](const member& a, const member& b) { return rank_of(a) > rank_of(b); });
-    std::vector<std::string> sources;
+    std::map<std::uint64_t, std::string, std::greater<>> ranked;
     for (const member& one : group) {
-        if (one.address == self.address || sources.size() == most_sources) {
+        ranked.emplace(rank_of(one), one.address);
+    }
+    std::vector<std::string> sources;
+    for (const auto& [rank, address] : ranked) {
+        if (address == self.address || sources.size() == most_sources) {
             break;
         }
-        sources.push_back(one.address);
+        sources.push_back(address);
     }
     return sources;
 }
--- a/src/news/tests/news_tests.cpp
+++ b/src/news/tests/news_tests.cpp
@@ -133,6 +133,16 @@
         return instances.begin()->second;
     }
 
+    //! One that has a source.
+    instance& any_follower() {
+        for (auto& [address, one] : instances) {
+            if (!one.state.sources.empty()) {
+                return one;
+            }
+        }
+        return instances.begin()->second;
+    }
+
     milliseconds longest_behind() {
         milliseconds longest{0};
         for (const auto& [address, one] : instances) {
@@ -152,6 +162,10 @@
     int calls{0};
 };
 
+news_reply reply_in(const std::vector<news_effect>& effects) {
+    return std::get<news_reply>(std::get<send_to_peer>(effects.at(0)).message);
+}
+
 }  // namespace
 
 TEST_GROUP(news){};
@@ -217,22 +231,17 @@
 }
 
 TEST(news, an_instance_that_the_store_turns_away_is_kept_up_to_date) {
-    // GIVEN a fleet of sixty of which the last of all is turned away
+    // GIVEN a fleet of sixty of which one that has a source is turned away
     fleet large(60);
     large.run(3s);
-    instance* away = nullptr;
-    for (auto& [address, one] : large.instances) {
-        if (!one.state.sources.empty()) {
-            away = &one;
-        }
-    }
-    away->is_turned_away = true;
+    instance& away = large.any_follower();
+    away.is_turned_away = true;
     // WHEN the store changes
     large.write();
     large.run(1s);
     // THEN it knows
-    LONGS_EQUAL(large.store_version, away->state.topics.at(topic).version);
-    CHECK_TRUE(is_kept_fresh(away->state, large.now));
+    LONGS_EQUAL(large.store_version, away.state.topics.at(topic).version);
+    CHECK_TRUE(is_kept_fresh(away.state, large.now));
 }
 
 TEST(news, a_late_reply_does_not_make_old_news_look_new) {
@@ -240,21 +249,16 @@
     fleet large(60);
     large.run(3s);
     instance& reader = large.first_reader();
-    instance* asks = nullptr;
-    for (auto& [address, one] : large.instances) {
-        if (!one.state.sources.empty()) {
-            asks = &one;
-        }
-    }
+    instance& asks = large.any_follower();
     large.run(460ms);  // ends between two requests
-    const auto asked = reduce(asks->state, news_tick{}, large.now + 500ms);
+    const auto asked = reduce(asks.state, news_tick{}, large.now + 500ms);
     const auto& request = std::get<news_request>(std::get<send_to_peer>(asked.at(0)).message);
     const auto answered = reduce(reader.state, news_requested{request}, large.now + 510ms);
-    const auto& reply = std::get<news_reply>(std::get<send_to_peer>(answered.at(0)).message);
+    const news_reply reply = reply_in(answered);
     // WHEN the reply is held up for 3 s
-    reduce(asks->state, news_replied{reply}, large.now + 3510ms);
+    reduce(asks.state, news_replied{reply}, large.now + 3510ms);
     // THEN the instance still reads the store itself
-    CHECK_TRUE(reads_store(asks->state, topic, large.now + 3510ms));
+    CHECK_TRUE(reads_store(asks.state, topic, large.now + 3510ms));
 }
 
 TEST(news, an_instance_behind_a_gap_reads_the_store_itself) {
@@ -268,7 +272,7 @@
     request.sequence = 1;
     request.known = {{topic, 5}};
     const auto answered = reduce(reader.state, news_requested{request}, large.now);
-    const auto& reply = std::get<news_reply>(std::get<send_to_peer>(answered.at(0)).message);
+    const news_reply reply = reply_in(answered);
     // THEN it is told of the later position without the changes, and isn't confirmed by that
     LONGS_EQUAL(50, reply.topics.at(0).version);
     LONGS_EQUAL(0, reply.topics.at(0).changes.size());
@@ -297,7 +301,7 @@
     request.known = {{topic, 5}};
     const auto answered = reduce(state, news_requested{request}, start);
     // THEN it gets to the last one without any text
-    const auto& reply = std::get<news_reply>(std::get<send_to_peer>(answered.at(0)).message);
+    const news_reply reply = reply_in(answered);
     LONGS_EQUAL(1, reply.topics.at(0).changes.size());
     LONGS_EQUAL(500, reply.topics.at(0).changes.at(0).version);
     CHECK_TRUE(reply.topics.at(0).changes.at(0).text.empty());
--- a/src/packing/desk.cpp
+++ b/src/packing/desk.cpp
@@ -55,10 +55,6 @@
     return {{{}, address, {}}, std::move(message)};
 }
 
-milliseconds time_until(instant then, instant now) {
-    return std::chrono::duration_cast<milliseconds>(then - now);
-}
-
 pieces_request to_message(const desk& state, const outstanding_order& placed, instant now) {
     const piece_order& order = placed.order;
     pieces_request message;
@@ -72,8 +68,8 @@
         message.inputs = *order.inputs;
     }
     message.result_bytes = order.result_bytes;
-    message.aim_in = time_until(order.aim, now);
-    message.needed_in = time_until(order.needed_by, now);
+    message.aim_in = order.aim - now;
+    message.needed_in = order.needed_by - now;
     message.priority = order.priority;
     message.depth = order.depth;
     message.zone = order.zone;
@@ -133,12 +129,12 @@
 void run_packer(desk& state, const pool_name& pool, const packer_event& happened, instant now,
                 desk_effects& out) {
     packer& packs = state.packers[pool];
-    std::optional<milliseconds> known_wait;
+    std::optional<milliseconds> computed;  // once for all effects
     const auto pool_wait = [&] {
-        if (!known_wait) {
-            known_wait = waiting_time(packs, now);
+        if (!computed) {
+            computed = waiting_time(packs, now);
         }
-        return *known_wait;
+        return *computed;
     };
     for (packer_effect& effect : reduce(packs, happened, now)) {
         std::visit(overloaded{
@@ -277,8 +273,7 @@
     for (const std::string& home : quiet_homes(state, now)) {
         peer_health& health = state.peers[home];
         if (health.asked_at != instant{} && now - health.asked_at >= silence) {
-            out.push_back(
-                peer_judged{home, peer_verdict::silent, time_until(now, health.asked_at)});
+            out.push_back(peer_judged{home, peer_verdict::silent, now - health.asked_at});
             health.is_silent = true;
             health.asked_at = {};
             continue;
--- a/src/packing/packer.cpp
+++ b/src/packing/packer.cpp
@@ -67,6 +67,11 @@
     drop(state, id, out);
 }
 
+void refuse(packer& state, const order_id& id, pieces_verdict why, instant now,
+            packer_effects& out) {
+    refuse(state, id, why, retry_delay(state, now), out);
+}
+
 void place(packer& state, const order_placed& happened, instant now, packer_effects& out) {
     const piece_order& order = happened.order;
     if (state.orders.contains(order.id)) {
@@ -74,13 +79,12 @@
     }
     open_order open;
     open.order = order;
-    open.placed_at = now;
     open.pieces.assign(static_cast<std::size_t>(order.pieces), piece_progress::waiting);
     open.results.resize(open.pieces.size());
     const instant end = detail::expected_end(state, order, now);
     state.orders.emplace(order.id, std::move(open));
     if (state.upstreams.empty()) {
-        refuse(state, order.id, pieces_verdict::no_upstream, retry_delay(state, now), out);
+        refuse(state, order.id, pieces_verdict::no_upstream, now, out);
         return;
     }
     const bool can_be_on_time = end <= order.aim;
@@ -89,7 +93,7 @@
     const instant latest =
         can_be_on_time || order.depth > 0 ? order.needed_by : order.needed_by - spare;
     if (end > latest) {
-        refuse(state, order.id, pieces_verdict::overloaded, retry_delay(state, now), out);
+        refuse(state, order.id, pieces_verdict::overloaded, now, out);
     }
 }
 
@@ -172,16 +176,16 @@
         return;
     }
     if (status == piece_status::input_lost) {
-        refuse(state, piece.order, pieces_verdict::input_lost, retry_delay(state, now), out);
+        refuse(state, piece.order, pieces_verdict::input_lost, now, out);
         return;
     }
     if (status == piece_status::late) {
-        refuse(state, piece.order, pieces_verdict::overloaded, retry_delay(state, now), out);
+        refuse(state, piece.order, pieces_verdict::overloaded, now, out);
         return;
     }
     put_back(state, piece);
     if (status == piece_status::failed && ++order->second.failures >= most_failures) {
-        refuse(state, piece.order, pieces_verdict::failed, retry_delay(state, now), out);
+        refuse(state, piece.order, pieces_verdict::failed, now, out);
     }
 }
 
@@ -321,7 +325,7 @@
 
 call_item make_item(const open_order& open, int piece, instant now) {
     const piece_order& order = open.order;
-    const auto left = std::chrono::duration_cast<milliseconds>(order.needed_by - now);
+    const auto left = order.needed_by - now;
     return {order.request, order.stage, piece, left, order.key, order.inputs};
 }
 
@@ -355,32 +359,31 @@
     }
 }
 
+//! When so many pieces would be made behind everything that waits.
+instant end_of_queue(const packer& state, int pieces, instant now) {
+    piece_order last;
+    last.pieces = pieces;
+    last.aim = instant::max();
+    last.priority = std::numeric_limits<int>::max();
+    return detail::expected_end(state, last, now);
+}
+
 }  // namespace
 
 milliseconds waiting_time(const packer& state, instant now) {
-    piece_order next;
-    next.pieces = 1;
-    next.aim = instant::max();
-    next.priority = std::numeric_limits<int>::max();
-    const instant end = detail::expected_end(state, next, now);
+    const instant end = end_of_queue(state, 1, now);
     if (end == instant::max()) {
         return longest_backoff;
     }
-    const auto wait =
-        std::chrono::duration_cast<milliseconds>(end - now) - detail::call_time(state.limits, 1);
-    return std::max(wait, 0ms);
+    return std::max(end - now - detail::call_time(state.limits, 1), 0ms);
 }
 
 milliseconds drain_time(const packer& state, instant now) {
     if (state.upstreams.empty()) {
         return 1000ms;
     }
-    piece_order last;
-    last.aim = instant::max();
-    last.priority = std::numeric_limits<int>::max();
-    const instant end = detail::expected_end(state, last, now);
-    return end == instant::max() ? longest_backoff
-                                 : std::chrono::duration_cast<milliseconds>(end - now);
+    const instant end = end_of_queue(state, 0, now);
+    return end == instant::max() ? longest_backoff : end - now;
 }
 
 std::vector<packer_effect> reduce(packer& state, const packer_event& happened, instant now) {
--- a/src/packing/selection.cpp
+++ b/src/packing/selection.cpp
@@ -22,6 +22,11 @@
 constexpr double slow_from = 1.8;
 constexpr double bytes_per_mb = 1e6;
 
+//! A call's time at an upstream with this measured slowness.
+milliseconds slowed(milliseconds takes, double slowness) {
+    return milliseconds(std::lround(static_cast<double>(takes.count()) * slowness));
+}
+
 //! Whose pieces go first: those that can still be on time, then late stages, then urgent requests.
 struct urgency {
     bool is_late;
@@ -46,9 +51,8 @@
     if (upstream.call == 0 || call == state.calls.end()) {
         return now;
     }
-    const auto takes = milliseconds(
-        std::lround(static_cast<double>(call->second.expected.count()) * upstream.slowness));
-    return std::max(now, call->second.started_at + takes);
+    return std::max(now,
+                    call->second.started_at + slowed(call->second.expected, upstream.slowness));
 }
 
 //! True if an upstream in the zone where the results are used will be free soon enough.
@@ -104,7 +108,7 @@
 
 //! Bytes that other packers' results are taken to hold; they fade as those expire.
 std::uint64_t foreign_bytes(const packer_upstream& upstream, instant now) {
-    const auto age = std::chrono::duration_cast<milliseconds>(now - upstream.foreign_since);
+    const auto age = now - upstream.foreign_since;
     if (upstream.foreign_bytes == 0 || age >= foreign_time) {
         return 0;
     }
@@ -144,21 +148,16 @@
             add_call(batch);
         }
         const auto [at, slowness] = starts_[last];
-        return at + time_of(pieces - static_cast<int>(last) * batch, slowness);
+        return at + slowed(call_time(limits_, pieces - static_cast<int>(last) * batch), slowness);
     }
 
 private:
     using call_start = std::pair<instant, double>;  // with the upstream's slowness
 
-    milliseconds time_of(int pieces, double slowness) const {
-        return milliseconds(
-            std::lround(static_cast<double>(call_time(limits_, pieces).count()) * slowness));
-    }
-
     void add_call(int batch) {
         const call_start next = *free_.begin();
         free_.erase(free_.begin());
-        free_.emplace(next.first + time_of(batch, next.second), next.second);
+        free_.emplace(next.first + slowed(call_time(limits_, batch), next.second), next.second);
         starts_.push_back(next);
     }
 
@@ -188,8 +187,7 @@
 
 milliseconds call_time_at(const packer& state, const packer_upstream& upstream, int pieces) {
     const int in_call = std::min(pieces, state.limits.batch);
-    return milliseconds(std::lround(static_cast<double>(call_time(state.limits, in_call).count()) *
-                                    upstream.slowness));
+    return slowed(call_time(state.limits, in_call), upstream.slowness);
 }
 
 bool is_usable(const packer_upstream& upstream, instant now) {
--- a/src/packing/tests/desk_tests.cpp
+++ b/src/packing/tests/desk_tests.cpp
@@ -41,6 +41,12 @@
     return state;
 }
 
+//! Of two instances, `a` and `b`, the one that isn't the pool's home.
+desk make_asker(const fleet_view_ptr& view) {
+    const desk any = make_desk("a", view);
+    return make_desk(home_of(any, pool, start) == "a:7" ? "b" : "a", view);
+}
+
 pieces_wanted make_wanted(const desk& state, std::uint64_t number) {
     piece_order order;
     order.id = {state.self.id, number};
@@ -112,9 +118,7 @@
 TEST(desk, orders_at_a_silent_home_are_placed_again) {
     // GIVEN an order at a home that has just frozen
     const auto view = make_view({make_member("a"), make_member("b")});
-    desk any = make_desk("a", view);
-    const std::string other = home_of(any, pool, start) == "a:7" ? "b" : "a";
-    desk asks = make_desk(other, view);
+    desk asks = make_asker(view);
     reduce(asks, make_wanted(asks, 1), start);
     // WHEN it doesn't answer pings
     std::vector<desk_effect> effects;
@@ -132,8 +136,7 @@
 TEST(desk, a_home_that_was_only_slow_does_not_make_moved_orders_for_nobody) {
     // GIVEN an order at a home that answers nothing
     const auto view = make_view({make_member("a"), make_member("b")});
-    desk any = make_desk("a", view);
-    desk asks = make_desk(home_of(any, pool, start) == "a:7" ? "b" : "a", view);
+    desk asks = make_asker(view);
     reduce(asks, make_wanted(asks, 1), start);
     // WHEN it counts as silent
     std::vector<desk_effect> effects;
@@ -150,9 +153,8 @@
 TEST(desk, a_home_that_answers_pings_keeps_its_orders) {
     // GIVEN an order that takes long at a living home
     const auto view = make_view({make_member("a"), make_member("b")});
-    desk any = make_desk("a", view);
-    const std::string home = home_of(any, pool, start);
-    desk asks = make_desk(home == "a:7" ? "b" : "a", view);
+    desk asks = make_asker(view);
+    const std::string home = home_of(asks, pool, start);
     reduce(asks, make_wanted(asks, 1), start);
     // WHEN it answers each ping
     for (instant now = start; now < start + 3s; now += 50ms) {
@@ -172,8 +174,7 @@
 TEST(desk, a_home_that_left_the_list_loses_its_orders) {
     // GIVEN an order at the other instance
     const auto view = make_view({make_member("a"), make_member("b")});
-    desk any = make_desk("a", view);
-    desk asks = make_desk(home_of(any, pool, start) == "a:7" ? "b" : "a", view);
+    desk asks = make_asker(view);
     reduce(asks, make_wanted(asks, 1), start);
     // WHEN the store's list has only this one left
     const auto effects = reduce(asks, view_changed{make_view({asks.self})}, start + 100ms);
@@ -184,8 +185,7 @@
 TEST(desk, an_abandoned_order_is_cancelled_at_its_home) {
     // GIVEN an order at the other instance
     const auto view = make_view({make_member("a"), make_member("b")});
-    desk any = make_desk("a", view);
-    desk asks = make_desk(home_of(any, pool, start) == "a:7" ? "b" : "a", view);
+    desk asks = make_asker(view);
     reduce(asks, make_wanted(asks, 1), start);
     // WHEN its caller leaves
     const auto sent = all_of<send_to_peer>(reduce(asks, pieces_abandoned{1}, start + 10ms));
@@ -196,8 +196,7 @@
 TEST(desk, a_home_that_started_again_gets_its_orders_again) {
     // GIVEN an order at a home that has answered a ping
     const auto view = make_view({make_member("a"), make_member("b")});
-    desk any = make_desk("a", view);
-    desk asks = make_desk(home_of(any, pool, start) == "a:7" ? "b" : "a", view);
+    desk asks = make_asker(view);
     reduce(asks, make_wanted(asks, 1), start);
     pong answered;
     answered.sequence = 1;
@@ -232,8 +231,7 @@
 TEST(desk, a_home_that_replies_is_not_pinged) {
     // GIVEN orders at a home that answers each within 100 ms
     const auto view = make_view({make_member("a"), make_member("b")});
-    desk any = make_desk("a", view);
-    desk asks = make_desk(home_of(any, pool, start) == "a:7" ? "b" : "a", view);
+    desk asks = make_asker(view);
     for (std::uint64_t number = 1; number <= 20; ++number) {
         const instant now = start + milliseconds(number * 100);
         reduce(asks, make_wanted(asks, number), now);
@@ -270,9 +268,8 @@
 TEST(desk, a_silent_home_gets_no_orders_until_it_answers_a_ping) {
     // GIVEN a home that is cut off while orders come steadily
     const auto view = make_view({make_member("a"), make_member("b")});
-    desk any = make_desk("a", view);
-    const std::string home = home_of(any, pool, start);
-    desk asks = make_desk(home == "a:7" ? "b" : "a", view);
+    desk asks = make_asker(view);
+    const std::string home = home_of(asks, pool, start);
     reduce(asks, make_wanted(asks, 1), start);
     std::uint64_t last_ping = 0;
     std::uint64_t number = 1;
@@ -303,8 +300,7 @@
 TEST(desk, a_silent_home_that_left_the_list_is_not_pinged) {
     // GIVEN a home that was found silent
     const auto view = make_view({make_member("a"), make_member("b")});
-    desk any = make_desk("a", view);
-    desk asks = make_desk(home_of(any, pool, start) == "a:7" ? "b" : "a", view);
+    desk asks = make_asker(view);
     reduce(asks, make_wanted(asks, 1), start);
     for (instant now = start; now < start + 2s; now += 50ms) {
         reduce(asks, desk_tick{}, now);
--- a/src/serving/chain_admission.cpp
+++ b/src/serving/chain_admission.cpp
@@ -1,6 +1,7 @@
 #include "serving/chain_admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cyclamenmount {
 
@@ -17,44 +18,32 @@
     return std::max(least_overload_wait, overload_wait - overload_step * priority);
 }
 
-bool is_ahead(const chain_stage& stage) {
-    return stage.pieces > 0 && stage.state != stage_state::made;
-}
-
-milliseconds longest_way(const stage_chain& chain, std::size_t stage, const wait_function& wait) {
-    milliseconds longest{0};
-    for (std::size_t later = stage + 1; later < chain.stages.size(); ++later) {
-        if (follows(chain.stages[later], stage)) {
-            longest = std::max(longest, longest_way(chain, later, wait));
-        }
-    }
-    const chain_stage& here = chain.stages[stage];
-    return longest + (is_ahead(here) ? wait(here.pool) : 0ms);
+//! Waiting time of a stage that isn't done, in milliseconds.
+auto wait_of_stage(const wait_function& wait) {
+    return [&wait](const chain_stage& stage) {
+        return is_done(stage) ? 0 : static_cast<double>(wait(stage.pool).count());
+    };
 }
 
 }  // namespace
 
 milliseconds time_with_waits(const stage_chain& chain, const catalogue& lists,
                              const wait_function& wait) {
-    milliseconds longest{0};
-    for (std::size_t i = 0; i < chain.stages.size(); ++i) {
-        longest = std::max(longest, longest_way(chain, i, wait));
-    }
-    return longest + time_ahead(chain, lists);
+    return milliseconds(std::lround(longest_way(chain, wait_of_stage(wait)))) +
+           time_ahead(chain, lists);
 }
 
 milliseconds time_after_with_waits(const stage_chain& chain, std::size_t stage,
                                    const catalogue& lists, const wait_function& wait) {
-    const chain_stage& here = chain.stages[stage];
-    const milliseconds own = is_ahead(here) ? wait(here.pool) : 0ms;
-    return longest_way(chain, stage, wait) - own + time_after(chain, stage, lists);
+    return milliseconds(std::lround(longest_way_after(chain, stage, wait_of_stage(wait)))) +
+           time_after(chain, stage, lists);
 }
 
 std::optional<chain_refusal> refuse_chain(const stage_chain& chain, const catalogue& lists,
                                           const chain_times& times, const wait_function& wait) {
     chain_refusal worst;
     for (const chain_stage& stage : chain.stages) {
-        if (is_ahead(stage) && wait(stage.pool) > worst.retry_after) {
+        if (!is_done(stage) && wait(stage.pool) > worst.retry_after) {
             worst = {stage.pool, wait(stage.pool)};
         }
     }
--- a/src/serving/stage_chain.cpp
+++ b/src/serving/stage_chain.cpp
@@ -10,6 +10,31 @@
     return std::find(later.after.begin(), later.after.end(), earlier) != later.after.end();
 }
 
+bool is_done(const chain_stage& stage) {
+    return stage.state == stage_state::made || stage.pieces == 0;
+}
+
+double longest_way_after(const stage_chain& chain, std::size_t stage,
+                         const stage_cost_function& cost) {
+    double longest = 0;
+    // Stages only come after earlier ones.
+    for (std::size_t later = stage + 1; later < chain.stages.size(); ++later) {
+        if (follows(chain.stages[later], stage)) {
+            longest = std::max(longest,
+                               longest_way_after(chain, later, cost) + cost(chain.stages[later]));
+        }
+    }
+    return longest;
+}
+
+double longest_way(const stage_chain& chain, const stage_cost_function& cost) {
+    double longest = 0;
+    for (std::size_t i = 0; i < chain.stages.size(); ++i) {
+        longest = std::max(longest, longest_way_after(chain, i, cost) + cost(chain.stages[i]));
+    }
+    return longest;
+}
+
 namespace {
 
 //! A request whose results are lost twice is better refused: its objective has passed.
@@ -25,20 +50,11 @@
     return limits.call_ms + limits.piece_ms * std::min(stage.pieces, limits.batch);
 }
 
-bool is_done(const chain_stage& stage) {
-    return stage.state == stage_state::made || stage.pieces == 0;
-}
-
-//! Longest way from `stage` to the end, `stage` included. Stages only come after earlier ones.
-double way_from(const stage_chain& chain, std::size_t stage, const catalogue& lists) {
-    double longest = 0;
-    for (std::size_t later = stage + 1; later < chain.stages.size(); ++later) {
-        if (follows(chain.stages[later], stage)) {
-            longest = std::max(longest, way_from(chain, later, lists));
-        }
-    }
-    const chain_stage& here = chain.stages[stage];
-    return longest + (is_done(here) ? 0 : call_time_ms(here, lists));
+//! What a stage that isn't done takes at least.
+auto time_of_stage(const catalogue& lists) {
+    return [&lists](const chain_stage& stage) {
+        return is_done(stage) ? 0 : call_time_ms(stage, lists);
+    };
 }
 
 }  // namespace
@@ -134,25 +150,14 @@
 }
 
 milliseconds time_ahead(const stage_chain& chain, const catalogue& lists) {
-    double longest = 0;
-    for (std::size_t i = 0; i < chain.stages.size(); ++i) {
-        longest = std::max(longest, way_from(chain, i, lists));
-    }
-    return milliseconds(std::lround(longest));
+    return milliseconds(std::lround(longest_way(chain, time_of_stage(lists))));
 }
 
 milliseconds time_after(const stage_chain& chain, std::size_t stage, const catalogue& lists) {
-    double longest = 0;
-    for (std::size_t later = stage + 1; later < chain.stages.size(); ++later) {
-        if (follows(chain.stages[later], stage)) {
-            longest = std::max(longest, way_from(chain, later, lists));
-        }
-    }
-    return milliseconds(std::lround(longest));
+    return milliseconds(std::lround(longest_way_after(chain, stage, time_of_stage(lists))));
 }
 
 instant results_allow(const stage_chain& chain, std::size_t stage, const catalogue& lists) {
-    const auto& inputs = chain.stages[stage].after;
     const milliseconds after = time_after(chain, stage, lists);
     instant latest = instant::max();
     for (std::size_t i = 0; i < chain.stages.size(); ++i) {
@@ -161,9 +166,8 @@
         if (made.results.empty() || pool == lists.pools.end() || !pool->second.stage) {
             continue;
         }
-        const bool is_input = std::find(inputs.begin(), inputs.end(), i) != inputs.end();
         const instant gone = made.made_at + pool->second.stage->kept;
-        latest = std::min(latest, is_input ? gone : gone - after);
+        latest = std::min(latest, follows(chain.stages[stage], i) ? gone : gone - after);
     }
     return latest;
 }
--- a/src/serving/stage_chain.h
+++ b/src/serving/stage_chain.h
@@ -3,6 +3,7 @@
 
 #include "serving/types/catalogue.h"
 
+#include <functional>
 #include <span>
 #include <string>
 #include <vector>
@@ -45,6 +46,18 @@
 //! Results of the stages that no other stage follows; the request itself takes them.
 std::vector<std::string> final_results(const stage_chain& chain);
 
+//! Made, or left out.
+bool is_done(const chain_stage& stage);
+
+using stage_cost_function = std::function<double(const chain_stage&)>;
+
+//! Sum of `cost` over the costliest way from `stage` to the end, without `stage` itself.
+double longest_way_after(const stage_chain& chain, std::size_t stage,
+                         const stage_cost_function& cost);
+
+//! The same over the whole chain.
+double longest_way(const stage_chain& chain, const stage_cost_function& cost);
+
 //! True if `later` takes the results of the stage with this index.
 bool follows(const chain_stage& later, std::size_t earlier);
 
--- a/src/types/words.h
+++ b/src/types/words.h
@@ -3,6 +3,7 @@
 
 #include "types/errors.h"
 #include "types/fleet.h"
+#include "types/peer_messages.h"
 #include "types/store.h"
 
 #include <string_view>
@@ -108,4 +109,22 @@
     return "unknown";
 }
 
+constexpr std::string_view word(pieces_verdict value) {
+    switch (value) {
+    case pieces_verdict::made:
+        return "made";
+    case pieces_verdict::overloaded:
+        return "overloaded";
+    case pieces_verdict::input_lost:
+        return "input_lost";
+    case pieces_verdict::no_upstream:
+        return "no_upstream";
+    case pieces_verdict::failed:
+        return "failed";
+    case pieces_verdict::not_ready:
+        return "not_ready";
+    }
+    return "unknown";
+}
+
 }  // namespace cyclamenmount
