--- a/src/http_exchange/connection.cpp
+++ b/src/http_exchange/connection.cpp
@@ -76,12 +76,15 @@
 }
 
 time_limit::time_limit(const connection_ptr& limited, milliseconds limit)
-    : timer_(limited->loop, std::max(limit, milliseconds(0))) {
-    timer_.async_wait([target = std::weak_ptr(limited)](const error_code& cancelled) {
+    : limited_(std::make_shared<connection_ptr>(limited)),
+      timer_(limited->loop, std::max(limit, milliseconds(0))) {
+    // The handler may run without an error after the cancellation, if the timer has expired
+    // already.
+    timer_.async_wait([target = std::weak_ptr(limited_)](const error_code& cancelled) {
         const auto expired = target.lock();
         if (!cancelled && expired) {
-            expired->timed_out = true;
-            expired->close();
+            (*expired)->timed_out = true;
+            (*expired)->close();
         }
     });
 }
--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -59,6 +59,7 @@
     time_limit& operator=(time_limit&&) = delete;
 
 private:
+    std::shared_ptr<connection_ptr> limited_;  //!< shared so that the handler sees the limit's end
     asio::steady_timer timer_;
 };
 
