Quarantine of prompt parts: rules and state of the fleet

Cause: the interfaces of the quarantine of prompt parts were declared without an implementation.

The reducer of the fleet's state applies suspects by store revision, logs their changes and publishes one shared map that views share until a suspect changes. A batch of events makes at most one new map.

The program doesn't write or use the suspects yet.

--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "serving/types/fleet_view.h"
+#include "types/prompt.h"
 
 #include <deque>
 #include <limits>
@@ -32,12 +33,6 @@
     int slots{1};    //!< requests that can run at the same time
 };
 
-//! One part of a prompt; upstreams cache parts by id.
-struct prompt_part {
-    std::string id;
-    std::uint64_t tokens{0};
-};
-
 //! What this instance has recorded of one upstream.
 struct upstream_record {
     int in_flight{0};  //!< requests of this instance in progress at the upstream
--- a/src/serving/fleet_state.cpp
+++ b/src/serving/fleet_state.cpp
@@ -65,6 +65,75 @@
     state.upstreams_known = true;
 }
 
+//! Has the next view publish the suspects anew: once for all events that arrived together.
+void mark_suspects_changed(fleet_state& state) {
+    state.published_suspects.reset();
+}
+
+//! Applies a written suspect. Returns true if its value changed.
+bool apply_suspect(fleet_state& state, const stored_suspect& written, instant now,
+                   fleet_changes& out) {
+    const suspect_part& value = written.value;
+    const auto [entry, is_new] = state.suspects.try_emplace(value.part);
+    stored_suspect& known = entry->second.stored;
+    if (!is_new && known.revision >= written.revision) {
+        return false;
+    }
+    if (!is_new && known.value == value) {
+        known.revision = written.revision;
+        return false;
+    }
+    const bool was_quarantined = !is_new && is_quarantined(known.value);
+    entry->second = {written, now};
+    mark_suspects_changed(state);
+    if (!is_quarantined(value)) {
+        out.push_back({was_quarantined ? "prompt_part_cleared" : "prompt_part_suspected",
+                       value.part, value.crashes.size()});
+    } else if (!was_quarantined) {
+        out.push_back({"prompt_part_quarantined", value.part, value.crashes.size()});
+    }
+    return true;
+}
+
+//! Removes a suspect unless it was written after the revision.
+void apply_suspect_removal(fleet_state& state, const std::string& part, std::uint64_t revision,
+                           fleet_changes& out) {
+    const auto known = state.suspects.find(part);
+    if (known == state.suspects.end() || known->second.stored.revision > revision) {
+        return;
+    }
+    out.push_back({"prompt_part_cleared", part, 0});
+    state.suspects.erase(known);
+    mark_suspects_changed(state);
+}
+
+//! Replaces the suspects with those of a complete list. Returns true if a value changed.
+bool apply_suspect_list(fleet_state& state, const suspects_listed& list, instant now,
+                        fleet_changes& out) {
+    bool is_changed = false;
+    std::set<std::string> missing;
+    for (const auto& [part, known] : state.suspects) {
+        missing.insert(part);
+    }
+    for (const stored_suspect& suspect : list.suspects) {
+        missing.erase(suspect.value.part);
+        is_changed = apply_suspect(state, suspect, now, out) || is_changed;
+    }
+    for (const std::string& part : missing) {
+        apply_suspect_removal(state, part, list.revision, out);
+    }
+    return is_changed;
+}
+
+//! The suspects to publish.
+std::shared_ptr<const suspect_parts> make_suspect_parts(const fleet_state& state) {
+    auto suspects = std::make_shared<suspect_parts>();
+    for (const auto& [part, known] : state.suspects) {
+        suspects->emplace_hint(suspects->end(), part, known.stored.value);
+    }
+    return suspects;
+}
+
 //! Erases removed upstreams that have expired. Returns true if there were any.
 bool erase_expired(fleet_state& state, instant now) {
     return std::erase_if(state.upstreams, [&](const auto& entry) {
@@ -85,6 +154,10 @@
     for (const auto& [address, instance] : state.members) {
         view->members.push_back(instance);
     }
+    if (!state.published_suspects) {
+        state.published_suspects = make_suspect_parts(state);
+    }
+    view->suspects = state.published_suspects;
     view->upstreams_known = state.upstreams_known;
     view->is_store_reached = state.store_reached;
     view->number = ++state.view_count;
@@ -142,6 +215,15 @@
             [&](const member_removed& removed) {
                 is_changed = state.members.erase(removed.address) != 0;
             },
+            [&](const suspects_listed& listed) {
+                is_changed = apply_suspect_list(state, listed, now, out);
+            },
+            [&](const suspect_written& written) {
+                is_changed = apply_suspect(state, written.suspect, now, out);
+            },
+            [&](const suspect_removed& removed) {
+                apply_suspect_removal(state, removed.part, removed.revision, out);
+            },
             [&](const store_became_unreachable&) {
                 if (state.store_reached) {
                     state.store_reached = false;
@@ -180,4 +262,14 @@
     return reduce(state, std::span(&event, 1), now);
 }
 
+std::vector<stored_suspect> expired_suspects(const fleet_state& state, instant now) {
+    std::vector<stored_suspect> expired;
+    for (const auto& [part, known] : state.suspects) {
+        if (now - known.changed_at >= lifetime_of(known.stored.value)) {
+            expired.push_back(known.stored);
+        }
+    }
+    return expired;
+}
+
 }  // namespace cyclamenmount
--- a/src/serving/fleet_state.h
+++ b/src/serving/fleet_state.h
@@ -65,6 +65,31 @@
     std::string address;
 };
 
+//! A suspect prompt part as stored.
+struct stored_suspect {
+    suspect_part value;
+    std::uint64_t revision{0};  //!< store revision of the last change
+
+    bool operator==(const stored_suspect&) const = default;
+};
+
+//! The complete list of suspect prompt parts was read, as of one revision of the store.
+struct suspects_listed {
+    std::vector<stored_suspect> suspects;
+    std::uint64_t revision{0};
+};
+
+//! A prompt part became a suspect, or its crashes changed.
+struct suspect_written {
+    stored_suspect suspect;
+};
+
+//! A prompt part is no longer a suspect.
+struct suspect_removed {
+    std::string part;
+    std::uint64_t revision{0};
+};
+
 //! The store no longer answers.
 struct store_became_unreachable {};
 
@@ -77,8 +102,8 @@
 using store_event =
     std::variant<serving_config_read, upstreams_listed, upstream_written, upstream_removed,
                  zones_out_of_service_listed, zone_taken_out_of_service, zone_returned_to_service,
-                 members_listed, member_written, member_removed, store_became_unreachable,
-                 store_became_reachable, fleet_tick>;
+                 members_listed, member_written, member_removed, suspects_listed, suspect_written,
+                 suspect_removed, store_became_unreachable, store_became_reachable, fleet_tick>;
 
 //! An upstream and the state of its store entry.
 struct upstream_entry {
@@ -88,17 +113,27 @@
     instant expires_at{};       //!< time when an upstream without a store entry is erased
 };
 
+//! A suspect prompt part and the time of its last change.
+struct suspect_entry {
+    stored_suspect stored;
+    instant changed_at{};  //!< when this instance read the last change
+};
+
 //! Everything that this instance has read from the store.
 struct fleet_state {
     //! Null until one was read.
     std::shared_ptr<const serving_config> config;
     std::map<upstream_id, upstream_entry> upstreams;
     std::set<zone_name> zones_out_of_service;
-    std::map<std::string, member> members;  //!< instances by address
-    bool upstreams_known{false};            //!< the list of upstreams was read at least once
-    bool store_reached{false};              //!< the store answered the last call
-    instant store_reachable_since{};        //!< end of the last store outage
-    std::uint64_t view_count{0};            //!< number of views published so far
+    std::map<std::string, member> members;          //!< instances by address
+    std::map<std::string, suspect_entry> suspects;  //!< suspect prompt parts by id
+    //! The suspects as published in views; replaced when they change.
+    std::shared_ptr<const suspect_parts> published_suspects{
+        std::make_shared<const suspect_parts>()};
+    bool upstreams_known{false};      //!< the list of upstreams was read at least once
+    bool store_reached{false};        //!< the store answered the last call
+    instant store_reachable_since{};  //!< end of the last store outage
+    std::uint64_t view_count{0};      //!< number of views published so far
 };
 
 //! A change to be logged.
@@ -123,4 +158,7 @@
 
 fleet_update reduce(fleet_state& state, const store_event& event, instant now);
 
+//! Suspects whose lifetime has passed; their entries are to be deleted from the store.
+std::vector<stored_suspect> expired_suspects(const fleet_state& state, instant now);
+
 }  // namespace cyclamenmount
