--- a/src/prompt_quarantine/prompt_quarantine.h
+++ b/src/prompt_quarantine/prompt_quarantine.h
@@ -43,7 +43,7 @@
 //! True if enough upstreams crashed to keep the part from all upstreams.
 bool is_quarantined(const suspect_part& suspect);
 
-//! Adds a crash; false if it is known already.
+//! Adds a crash; false if it is known already or the list of crashes is full.
 bool add_crash(suspect_part& suspect, const part_crash& crash);
 
 //! Removes the crashes in a pool whose engines have answered the part; false if there are none.
