--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -97,6 +98,21 @@
     timed_out,  //!< no complete response within the limit; the request may have run
 };
 
+//! Returns the name of an outcome for the log.
+constexpr std::string_view enum_name(exchange_outcome value) {
+    switch (value) {
+    case exchange_outcome::completed:
+        return "completed";
+    case exchange_outcome::not_sent:
+        return "not_sent";
+    case exchange_outcome::broken:
+        return "broken";
+    case exchange_outcome::timed_out:
+        return "timed_out";
+    }
+    return "unknown";
+}
+
 struct exchange_reply {
     exchange_outcome outcome{exchange_outcome::broken};
     http::response<http::string_body> response;  //!< set only if the exchange completed
--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -216,6 +216,15 @@
            (state.sources.empty() || now - state.last_peer_request_at < stop_serving_after);
 }
 
+std::optional<milliseconds> topic_age(const store_sync& state, const std::string& topic,
+                                      instant now) {
+    const auto found = state.topics.find(topic);
+    if (found == state.topics.end() || !found->second.is_known) {
+        return std::nullopt;
+    }
+    return now - found->second.confirmed_at;
+}
+
 bool must_read_store(const store_sync& state, const std::string& topic, instant now) {
     if (!state.uses_sources || serves_other_instances(state, now)) {
         return true;
--- a/src/store_sync/store_sync.h
+++ b/src/store_sync/store_sync.h
@@ -16,6 +16,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -146,6 +147,11 @@
 //! Applies one event to the state and returns the effects to carry out.
 std::vector<sync_effect> reduce(store_sync& state, const sync_event& happened, instant now);
 
+//! Returns the time since the store is known to have had no newer version of the topic; none if the
+//! topic has never been read.
+std::optional<milliseconds> topic_age(const store_sync& state, const std::string& topic,
+                                      instant now);
+
 //! Returns true if this instance has to read the topic from the store now.
 bool must_read_store(const store_sync& state, const std::string& topic, instant now);
 
