--- a/src/http_exchange/connection.cpp
+++ b/src/http_exchange/connection.cpp
@@ -164,6 +164,17 @@
     std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+void connection_pool::discard_idle(const std::string& address) {
+    const auto found = idle_.find(address);
+    if (found == idle_.end()) {
+        return;
+    }
+    for (const connection_ptr& one : found->second) {
+        one->close();
+    }
+    idle_.erase(found);
+}
+
 http_request_message make_json_request(http::verb method, const std::string& target,
                                        const std::string& host, std::string body) {
     constexpr unsigned http_version = 11;
--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -82,6 +82,9 @@
     //! Closes connections that exceeded their idle limit.
     void expire();
 
+    //! Closes all idle connections to the address, as its connections may have become unresponsive.
+    void discard_idle(const std::string& address);
+
 private:
     //! Returns the most recently released connection that is usable; null if there is none.
     connection_ptr take_idle(const std::string& address);
--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -26,11 +26,10 @@
 constexpr milliseconds retry_period{2000};
 //! An instance without requests from peers for this long stops reading the store for them.
 constexpr milliseconds stop_serving_after{2000};
-//! Time between calls to an unreachable store. An instance with a responsive source probes less
-//! often, since the source reports that the store is reachable again. It still probes, in case the
-//! store rejects only the source.
+//! Time between calls to an unreachable store of an instance without a responsive source. With one,
+//! it probes less often, since the source reports that the store is reachable again. It still
+//! probes, in case the store rejects only the source.
 constexpr milliseconds probe_period_alone{400};
-constexpr milliseconds probe_period_with_source{2000};
 //! Number of pages kept for peers with older data; a peer that lacks more reads the store itself.
 constexpr std::size_t max_pages = 64;
 constexpr std::size_t max_page_bytes = std::size_t{512} * 1024;
@@ -231,10 +230,11 @@
     }
     const auto found = state.topics.find(topic);
     return found == state.topics.end() || !found->second.is_known ||
-           now - found->second.source_confirmed_at >= stale_after;
+           now - found->second.source_confirmed_at >= derive_stale_after(state.bounds);
 }
 
 bool has_fresh_source(const store_sync& state, instant now) {
+    const milliseconds stale_after = derive_stale_after(state.bounds);
     return !state.topics.empty() && std::ranges::all_of(state.topics, [&](const auto& entry) {
         return entry.second.is_known && now - entry.second.source_confirmed_at < stale_after;
     });
@@ -245,7 +245,7 @@
         std::ranges::any_of(state.sources, [&](const source_state& source) {
             return now - source.reply_received_at < retry_period + reply_timeout;
         });
-    return has_responsive_source ? probe_period_with_source : probe_period_alone;
+    return has_responsive_source ? derive_slow_probe_period(state.bounds) : probe_period_alone;
 }
 
 std::vector<sync_effect> reduce(store_sync& state, const sync_event& happened, instant now) {
--- a/src/store_sync/store_sync.h
+++ b/src/store_sync/store_sync.h
@@ -12,6 +12,7 @@
 //! since the last change of an object decides.
 #pragma once
 
+#include "store_sync/read_timing.h"
 #include "types/effects.h"
 
 #include <deque>
@@ -127,6 +128,7 @@
 
 //! State of the store sync of one instance.
 struct store_sync {
+    sync_bounds bounds;
     member self;                                //!< the local member
     std::map<std::string, topic_state> topics;  //!< by name
     bool uses_sources{false};           //!< the fleet is large enough to read through sources
@@ -139,11 +141,6 @@
 //! capacity of the fleet.
 inline constexpr std::size_t min_fleet_with_sources = 24;
 
-//! Age from which data counts as stale and is read from the store. Data of a healthy reader is at
-//! most 0.5 s old, and requests are sent every 0.4 s. A change that must take effect within 2 s is
-//! still read in time.
-inline constexpr milliseconds stale_after{1400};
-
 //! Applies one event to the state and returns the effects to carry out.
 std::vector<sync_effect> reduce(store_sync& state, const sync_event& happened, instant now);
 
