--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -16,8 +16,9 @@
     return {reason, execution::not_run, std::move(detail), "", retry_after};
 }
 
-refusal refuse_unknown(const fleet_view& view, refusal_reason reason, std::string detail) {
-    if (!view.is_store_reached) {
+refusal refuse_unknown(const knowledge_age& configuration, refusal_reason reason,
+                       std::string detail) {
+    if (!is_current(configuration)) {
         return refuse(refusal_reason::not_ready, "the configuration may be out of date",
                       not_ready_retry_after);
     }
@@ -26,7 +27,8 @@
 
 }  // namespace
 
-decided<admitted_request> admit(const fleet_view& view, const request_target& target) {
+decided<admitted_request> admit(const fleet_view& view, const request_target& target,
+                                const knowledge_age& configuration) {
     if (!view.config) {
         return refuse(refusal_reason::not_ready, "no configuration has been read yet",
                       not_ready_retry_after);
@@ -35,7 +37,7 @@
     admitted.config = view.config;
     admitted.matched = find_route(*view.config, target.host, target.path);
     if (admitted.matched == nullptr) {
-        return refuse_unknown(view, refusal_reason::unknown_target,
+        return refuse_unknown(configuration, refusal_reason::unknown_target,
                               "no route matches the host and path");
     }
     admitted.priority = admitted.matched->priority;
@@ -44,7 +46,7 @@
     }
     const serving_workspace* const workspace = find_workspace(*view.config, target.key);
     if (workspace == nullptr && !admitted.matched->is_public) {
-        return refuse_unknown(view, refusal_reason::unauthenticated, "unknown API key");
+        return refuse_unknown(configuration, refusal_reason::unauthenticated, "unknown API key");
     }
     if (workspace != nullptr) {
         admitted.workspace = workspace->name;
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -23,9 +23,22 @@
     int priority{0};           //!< 0 is the most urgent priority
 };
 
-//! Refuses an unknown route or key permanently only while the store is reached. Without the store
-//! the serving configuration may be outdated, so the refusal is `not_ready` with a time to retry.
-decided<admitted_request> admit(const fleet_view& view, const request_target& target);
+//! How long ago the store confirmed what an instance knows, and from which age on a change that has
+//! to be in force may be missing.
+struct knowledge_age {
+    milliseconds age{0};
+    milliseconds max{0};
+};
+
+//! Returns true if no change that has to be in force can be missing.
+constexpr bool is_current(const knowledge_age& known) {
+    return known.age < known.max;
+}
+
+//! Refuses an unknown route or key permanently only by a configuration that is current. With an
+//! older one the refusal is `not_ready` with a time to retry.
+decided<admitted_request> admit(const fleet_view& view, const request_target& target,
+                                const knowledge_age& configuration);
 
 //! Returns the time after which a caller should retry at an instance that has been without a
 //! configuration for `waited`. An outage of the store that has lasted long is likely to last
--- a/src/serving/fleet_state.cpp
+++ b/src/serving/fleet_state.cpp
@@ -159,7 +159,6 @@
     }
     view->suspects = state.published_suspects;
     view->upstreams_known = state.upstreams_known;
-    view->is_store_reached = state.store_reached;
     view->number = ++state.view_count;
     return view;
 }
--- a/src/serving/tests/admission_tests.cpp
+++ b/src/serving/tests/admission_tests.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 //! A view with one route that needs a key and one public route.
-fleet_view make_view(bool store_reached) {
+fleet_view make_view() {
     auto config = std::make_shared<serving_config>();
     route private_route;
     private_route.host = "h";
@@ -21,10 +21,12 @@
     config->workspaces_by_key["k"] = {{"w"}, 1};
     fleet_view view;
     view.config = config;
-    view.is_store_reached = store_reached;
     return view;
 }
 
+constexpr knowledge_age current{2999ms, 3000ms};
+constexpr knowledge_age outdated{3000ms, 3000ms};
+
 refusal_reason reason_of(const decided<admitted_request>& decision) {
     return decision.error().reason;
 }
@@ -35,28 +37,31 @@
 
 TEST(admission, a_known_key_on_a_known_route_is_admitted) {
     // GIVEN a view with a workspace that has a priority of its own
-    const fleet_view view = make_view(true);
+    const fleet_view view = make_view();
     // WHEN a request carries the key of that workspace
-    const auto decision = admit(view, {"h", "/p/1", "k"});
+    const auto decision = admit(view, {"h", "/p/1", "k"}, current);
     // THEN it is admitted with that workspace and its priority
     CHECK_TRUE(decision.has_value());
     STRCMP_EQUAL("w", decision.value().workspace.value.c_str());
     LONGS_EQUAL(1, decision.value().priority);
 }
 
-TEST(admission, unknown_keys_and_routes_are_refused_permanently_only_with_the_store_reached) {
-    // GIVEN one view whose store is reached and one whose store isn't
-    const fleet_view connected = make_view(true);
-    const fleet_view disconnected = make_view(false);
+TEST(admission, unknown_keys_and_routes_are_refused_permanently_only_by_a_current_configuration) {
+    // GIVEN a configuration that the store confirmed a moment too long ago, and one just within
+    const fleet_view view = make_view();
     // WHEN a request has an unknown key or route
-    // THEN the first refuses permanently, the second as not ready and with a time to retry
-    CHECK_TRUE(reason_of(admit(connected, {"h", "/p/1", "x"})) == refusal_reason::unauthenticated);
-    CHECK_TRUE(reason_of(admit(connected, {"h", "/q/1", "k"})) == refusal_reason::unknown_target);
-    const auto decision = admit(disconnected, {"h", "/p/1", "x"});
+    // THEN the current one refuses permanently, the other as not ready and with a time to retry
+    CHECK_TRUE(reason_of(admit(view, {"h", "/p/1", "x"}, current)) ==
+               refusal_reason::unauthenticated);
+    CHECK_TRUE(reason_of(admit(view, {"h", "/q/1", "k"}, current)) ==
+               refusal_reason::unknown_target);
+    const auto decision = admit(view, {"h", "/p/1", "x"}, outdated);
     CHECK_TRUE(reason_of(decision) == refusal_reason::not_ready);
     CHECK_TRUE(decision.error().retry_after > 0ms);
     CHECK_TRUE(decision.error().state == execution::not_run);
-    CHECK_TRUE(reason_of(admit(disconnected, {"h", "/q/1", "k"})) == refusal_reason::not_ready);
+    CHECK_TRUE(reason_of(admit(view, {"h", "/q/1", "k"}, outdated)) == refusal_reason::not_ready);
+    // AND what is known is admitted by both
+    CHECK_TRUE(admit(view, {"h", "/p/1", "k"}, outdated).has_value());
 }
 
 TEST(admission, an_instance_without_a_configuration_refuses_as_not_ready) {
@@ -64,14 +69,14 @@
     const fleet_view view;
     // WHEN a request arrives
     // THEN it is refused as not ready
-    CHECK_TRUE(reason_of(admit(view, {"h", "/p/1", "k"})) == refusal_reason::not_ready);
+    CHECK_TRUE(reason_of(admit(view, {"h", "/p/1", "k"}, current)) == refusal_reason::not_ready);
 }
 
 TEST(admission, a_public_route_needs_no_key) {
     // GIVEN a public route
-    const fleet_view view = make_view(true);
+    const fleet_view view = make_view();
     // WHEN a request without a key arrives
-    const auto decision = admit(view, {"h", "/open/1", ""});
+    const auto decision = admit(view, {"h", "/open/1", ""}, current);
     // THEN it is admitted without a workspace
     CHECK_TRUE(decision.has_value());
     CHECK_TRUE(decision.value().workspace.empty());
--- a/src/serving/types/fleet_view.h
+++ b/src/serving/types/fleet_view.h
@@ -34,9 +34,8 @@
     std::vector<member> members;  //!< instances of the fleet, including this one
     //! Prompt parts that were in progress when upstreams crashed; never null.
     std::shared_ptr<const suspect_parts> suspects{std::make_shared<const suspect_parts>()};
-    bool upstreams_known{false};   //!< the list of upstreams was read at least once
-    bool is_store_reached{false};  //!< the last call to the store was answered
-    std::uint64_t number{0};       //!< sequence number of the view within this process
+    bool upstreams_known{false};  //!< the list of upstreams was read at least once
+    std::uint64_t number{0};      //!< sequence number of the view within this process
 };
 
 using fleet_view_ptr = std::shared_ptr<const fleet_view>;
