--- a/src/packing/tests/packer_tests.cpp
+++ b/src/packing/tests/packer_tests.cpp
@@ -441,3 +441,25 @@
         CHECK_TRUE(last - first <= 11);
     }
 }
+
+TEST(packer, a_leaving_upstream_gets_no_calls_until_it_starts_again) {
+    // GIVEN an upstream that said that it leaves, before the store did
+    packer state = make_packer({make_upstream("u"), make_upstream("v")});
+    reduce(state, directives_received{{"u"}, {{}, {}, true}, start}, start);
+    // WHEN jobs come
+    for (std::uint64_t number = 1; number <= 6; ++number) {
+        const auto effects = reduce(state, job_submitted{make_job(number, 8)}, start);
+        // THEN only the other upstream is called
+        for (const make_call& call : all_of<make_call>(effects)) {
+            CHECK_TRUE(call.upstream.value == "v");
+        }
+    }
+    // WHEN it has started again under its id
+    pool_upstream again = make_upstream("u");
+    again.started_at_ms = 7;
+    const auto effects =
+        reduce(state, pool_changed{make_limits(), {again, make_upstream("v")}}, start + 1s);
+    // THEN it is called
+    LONGS_EQUAL(1, all_of<make_call>(effects).size());
+    CHECK_TRUE(all_of<make_call>(effects)[0].upstream.value == "u");
+}
