--- a/src/packing/selection.cpp
+++ b/src/packing/selection.cpp
@@ -165,8 +165,9 @@
             state.residence_ms +
             static_cast<double>(call_duration(state.limits, state.limits.batch).count());
         for (const auto& [id, upstream] : state.upstreams) {
-            if (is_usable(upstream, now)) {
-                free_.emplace(next_free_time(state, upstream, now),
+            const instant available_at = std::max(now, upstream.directives.no_requests_until);
+            if (is_usable(upstream, available_at)) {
+                free_.emplace(std::max(next_free_time(state, upstream, now), available_at),
                               effective_slowdown(state, upstream));
                 free_bytes_ += capacity - std::min(capacity, held_bytes(state, upstream));
                 bytes_per_ms_ += static_cast<double>(capacity) / held_for_ms;
--- a/src/packing/tests/packer_tests.cpp
+++ b/src/packing/tests/packer_tests.cpp
@@ -463,3 +463,25 @@
     LONGS_EQUAL(1, all_of<make_call>(effects).size());
     CHECK_TRUE(all_of<make_call>(effects)[0].upstream.value == "u");
 }
+
+TEST(packer, an_upstream_that_wants_no_requests_gets_neither_calls_nor_releases_meanwhile) {
+    // GIVEN an upstream that holds a result and then asked for no requests for two seconds
+    packer state = make_packer({make_upstream("u")});
+    const auto called = reduce(state, job_submitted{make_job(1, 1)}, start);
+    const auto done =
+        all_of<job_completed>(complete_call(state, all_of<make_call>(called)[0], start + 200ms));
+    reduce(state, directives_received{{"u"}, {{}, 2000ms, false}, start}, start + 200ms);
+    // WHEN the result is no longer needed and another job comes
+    const auto released = reduce(state, results_released{done[0].results}, start + 300ms);
+    const auto waiting = reduce(state, job_submitted{make_job(2, 1, start + 300ms)}, start + 300ms);
+    const auto before = reduce(state, packer_tick{}, start + 2100ms);
+    // THEN neither is sent
+    CHECK_TRUE(all_of<release_results>(released).empty());
+    CHECK_TRUE(all_of<make_call>(waiting).empty() && all_of<make_call>(before).empty());
+    CHECK_TRUE(all_of<release_results>(before).empty());
+    CHECK_TRUE(has_open_work(state));
+    // AND both are sent once the time has passed
+    const auto after = reduce(state, packer_tick{}, start + 2300ms);
+    LONGS_EQUAL(1, all_of<release_results>(after).size());
+    LONGS_EQUAL(1, all_of<make_call>(after).size());
+}
