--- a/src/packing/tests/packer_tests.cpp
+++ b/src/packing/tests/packer_tests.cpp
@@ -473,7 +473,9 @@
     reduce(state, directives_received{{"u"}, {{}, 2000ms, false}, start}, start + 200ms);
     // WHEN the result is no longer needed and another job comes
     const auto released = reduce(state, results_released{done[0].results}, start + 300ms);
-    const auto waiting = reduce(state, job_submitted{make_job(2, 1, start + 300ms)}, start + 300ms);
+    stage_job next = make_job(2, 1, start + 300ms);
+    next.soft_deadline = start + 4s;  // still met after the time
+    const auto waiting = reduce(state, job_submitted{next}, start + 300ms);
     const auto before = reduce(state, packer_tick{}, start + 2100ms);
     // THEN neither is sent
     CHECK_TRUE(all_of<release_results>(released).empty());
