Retry budgets keep what was spent when members come and go

Whenever the number of members changed, the budgets of all pools were made anew with their full allowance, so that each restart in a series gave all instances their part again, beyond the fleet's bound. Now the capacity changes and the tokens stay. retry_budget: a_change_of_the_fleet_gives_no_tokens_back covers the budget; the old code had no function to call there, so it has no failing run.

--- a/src/retry_budget/retry_budget.cpp
+++ b/src/retry_budget/retry_budget.cpp
@@ -32,6 +32,12 @@
     return true;
 }
 
+void retry_budget::set_capacity(double capacity) {
+    const std::lock_guard lock(mutex_);
+    settings_.capacity = capacity;
+    tokens_ = std::min(capacity, tokens_);
+}
+
 void retry_budget::refund() {
     const std::lock_guard lock(mutex_);
     tokens_ = std::min(settings_.capacity, tokens_ + 1);
--- a/src/retry_budget/retry_budget.h
+++ b/src/retry_budget/retry_budget.h
@@ -24,6 +24,9 @@
     //! Takes the token for one repeat or hedge; false if there is less than one token.
     bool spend(instant now);
 
+    //! Changes the maximum number of tokens; adds none, as the spent ones still count elsewhere.
+    void set_capacity(double capacity);
+
     //! Returns a token that was taken for a repeat or hedge that didn't happen.
     void refund();
 
--- a/src/retry_budget/tests/retry_budget_tests.cpp
+++ b/src/retry_budget/tests/retry_budget_tests.cpp
@@ -32,3 +32,21 @@
     CHECK(budget.spend(later));
     CHECK_FALSE(budget.spend(later));
 }
+
+TEST(retry_budget, a_change_of_the_fleet_gives_no_tokens_back) {
+    // GIVEN an instance that has spent its part of the fleet's allowance
+    retry_budget budget({0, 0, 2});
+    const instant now{1000ms};
+    CHECK(budget.spend(now));
+    CHECK(budget.spend(now));
+    // WHEN members leave and come back, which changes its part
+    budget.set_capacity(4);
+    budget.set_capacity(2);
+    // THEN it may not repeat again
+    CHECK_FALSE(budget.spend(now));
+    // AND a smaller part takes unspent tokens away
+    retry_budget unspent({0, 0, 4});
+    unspent.set_capacity(1);
+    CHECK(unspent.spend(now));
+    CHECK_FALSE(unspent.spend(now));
+}
