--- a/src/http_exchange/connection.cpp
+++ b/src/http_exchange/connection.cpp
@@ -147,6 +147,7 @@
         return;
     }
     idle->idle_since = boot_clock::now();
+    idle->is_reused = true;
     idle_connections.push_back(idle);
 }
 
--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -43,6 +43,7 @@
     std::string address;         //!< IP:PORT of the peer; empty for accepted connections
     instant idle_since{};        //!< time of the release to the pool
     milliseconds idle_limit{0};  //!< longest idle time after which the connection is reused
+    bool is_reused{false};       //!< carried another exchange before
     bool is_closed{false};
     bool timed_out{false};  //!< closed by a `time_limit`
 };
