A stage result that comes again on a kept connection is given to no other request

Results are unique, so a body that comes again on a connection is skipped; a connection is reused only after a response with results, as others look alike.

--- a/src/http_exchange/connection.cpp
+++ b/src/http_exchange/connection.cpp
@@ -253,12 +253,11 @@
         if (failed) {
             break;
         }
-        const bool matches_request = filter == nullptr || (*filter)(parser.get());
         co_await http::async_read(with->socket, with->buffer, parser, redirect_error_to(failed));
         if (failed) {
             break;
         }
-        if (!matches_request) {
+        if (filter != nullptr && !(*filter)(parser.get())) {
             continue;
         }
         reply.outcome = exchange_outcome::completed;
--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -40,10 +40,11 @@
     asio::io_context& loop;
     tcp::socket socket;
     beast::flat_buffer buffer;
-    std::string address;         //!< IP:PORT of the peer; empty for accepted connections
-    instant idle_since{};        //!< time of the release to the pool
-    milliseconds idle_limit{0};  //!< longest idle time after which the connection is reused
-    bool is_reused{false};       //!< carried another exchange before
+    std::string address;              //!< IP:PORT of the peer; empty for accepted connections
+    instant idle_since{};             //!< time of the release to the pool
+    milliseconds idle_limit{0};       //!< longest idle time after which the connection is reused
+    bool is_reused{false};            //!< carried another exchange before
+    std::size_t last_result_hash{0};  //!< of the last body with results, kept by `stage_driver`
     bool is_closed{false};
     bool timed_out{false};  //!< closed by a `time_limit`
 };
@@ -153,9 +154,9 @@
 //! Limit on the body of a response; reading a larger one fails.
 inline constexpr std::size_t max_response_bytes = std::size_t{64} * 1024 * 1024;
 
-//! Returns whether a response belongs to the request. Others are skipped: a late response to an
-//! earlier request may arrive first on a reused connection.
-using response_filter = std::function<bool(const http::fields&)>;
+//! Returns whether a response belongs to the request. Others are skipped: a response to an earlier
+//! request may arrive first on a reused connection, late or once more.
+using response_filter = std::function<bool(const http::response<http::string_body>&)>;
 
 //! Sends a request and reads the complete response. The referenced arguments must outlive the call;
 //! a null filter accepts every response.
