--- a/src/packing/packing_agent.cpp
+++ b/src/packing/packing_agent.cpp
@@ -321,7 +321,7 @@
         reply.verdict = pieces_verdict::overloaded;
         state.outstanding.erase(number);
         reply.number = number;
-        out.emplace_back(std::in_place_type<job_ended>, number, std::move(reply));
+        out.emplace_back(std::in_place_type<job_ended>, job_ended{number, std::move(reply)});
     }
 }
 
