--- a/src/upstream_directives/upstream_directives.cpp
+++ b/src/upstream_directives/upstream_directives.cpp
@@ -10,8 +10,7 @@
 constexpr double ms_per_second = 1000;
 //! Part of a limit that all instances without a regular part use together.
 constexpr double recheck_fraction = 0.25;
-//! Longest time for which sent requests are remembered and directives delay a request; an upstream
-//! that named more is asked again after it.
+//! Longest time for which a directive delays a request.
 constexpr milliseconds max_delay{3'600'000};
 //! Lowest rate that is told apart from none.
 constexpr double min_per_second = 0.001;
