A pool that is merely busy isn't refused on arrival for want of room

Found in the last reading of the diff, by reading: the check for places at limited upstreams took every upstream without a free slot for one without room, also in pools where nothing is limited, and a burst at a service whose upstreams queue requests would have been refused. placement: a_pool_that_is_only_busy_has_no_limit_on_its_room failed before, passes now.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -298,13 +298,26 @@
 
 std::optional<int> pool_room_at(placement_state& state, const fleet_view& view,
                                 const pool_name& pool, instant at, instant now) {
+    const upstream_list& upstreams = upstreams_of(view, pool);
+    const bool has_restricted =
+        std::ranges::any_of(upstreams, [&](const serving_upstream& upstream) {
+            return is_restricted(state.records[upstream.id].directives, now);
+        });
+    if (!has_restricted) {
+        return std::nullopt;
+    }
+    const pool_limits* const limits = limits_of(view, pool);
+    const bool has_engines = limits != nullptr && limits->engine;
     int room = 0;
-    for (const serving_upstream& upstream : upstreams_of(view, pool)) {
+    for (const serving_upstream& upstream : upstreams) {
         const upstream_record& record = state.records[upstream.id];
         const auto own = room_at(record.directives, cached_rank(state, view, upstream.id, now), at);
         if (own) {
             room += *own;
-        } else if (corrected_load(make_candidate(record, upstream, upstream.slots, now)) < 1) {
+            continue;
+        }
+        const int capacity = upstream.slots * (has_engines ? 1 : requests_per_slot);
+        if (corrected_load(make_candidate(record, upstream, capacity, now)) < 1) {
             return std::nullopt;
         }
     }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -98,7 +98,7 @@
                           instant now);
 
 //! Number of requests that the directives of the pool's upstreams allow this instance at a time
-//! `at`; none if one of them isn't limited and has a free slot.
+//! `at`; none if no upstream gives any, or one that gives none isn't full.
 std::optional<int> pool_room_at(placement_state& state, const fleet_view& view,
                                 const pool_name& pool, instant at, instant now);
 
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -270,3 +270,22 @@
     }
     CHECK_TRUE(sent >= 8);
 }
+
+TEST(placement, a_pool_that_is_only_busy_has_no_limit_on_its_room) {
+    // GIVEN upstreams whose slots are all taken, and which limit nothing
+    placement_state state;
+    const fleet_view view = make_view({make_upstream("a", "z1", 2), make_upstream("b", "z1", 2)});
+    record_load(state, {"a"}, {2, 1, 2}, start);
+    record_load(state, {"b"}, {2, 1, 2}, start);
+    // WHEN a request arrives
+    // THEN its admission isn't bounded by directives
+    CHECK_FALSE(pool_room_at(state, view, pool, start, start).has_value());
+    // WHEN one of them wants no requests and the other one has a queue that isn't full
+    record_directives(state, view.pools.at(pool)[0], {{}, 2000ms, false}, start, start);
+    // THEN the other one still takes requests
+    CHECK_FALSE(pool_room_at(state, view, pool, start, start).has_value());
+    // WHEN both want none
+    record_directives(state, view.pools.at(pool)[1], {{}, 2000ms, false}, start, start);
+    // THEN there is no room
+    LONGS_EQUAL(0, pool_room_at(state, view, pool, start, start).value());
+}
--- a/src/upstream_directives/upstream_directives.cpp
+++ b/src/upstream_directives/upstream_directives.cpp
@@ -122,6 +122,10 @@
     return static_cast<int>(state.sent.end() - first);
 }
 
+bool is_restricted(const directive_state& state, instant now) {
+    return state.is_leaving || state.max_per_second || now < state.no_requests_until;
+}
+
 std::optional<int> room_at(const directive_state& state, const instance_rank& rank, instant at) {
     if (state.is_leaving || at < state.no_requests_until) {
         return 0;
--- a/src/upstream_directives/upstream_directives.h
+++ b/src/upstream_directives/upstream_directives.h
@@ -84,6 +84,9 @@
 //! Number of requests sent within the window before `now`.
 int requests_within(const directive_state& state, milliseconds window, instant now);
 
+//! True if the directives keep some or all requests from the upstream now.
+bool is_restricted(const directive_state& state, instant now);
+
 //! Number of requests that the directives allow at a time `at`, if none is sent until then; none if
 //! it isn't limited.
 std::optional<int> room_at(const directive_state& state, const instance_rank& rank, instant at);
