--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -44,7 +44,7 @@
     instant idle_since{};             //!< time of the release to the pool
     milliseconds idle_limit{0};       //!< longest idle time after which the connection is reused
     bool is_reused{false};            //!< carried another exchange before
-    std::size_t last_result_hash{0};  //!< of the last body with results, kept by `stage_driver`
+    std::size_t last_result_hash{0};  //!< hash of the last stage response; see `stage_driver`
     bool is_closed{false};
     bool timed_out{false};  //!< closed by a `time_limit`
 };
--- a/src/packing/packer.cpp
+++ b/src/packing/packer.cpp
@@ -35,8 +35,8 @@
 constexpr milliseconds min_retry_after{50};
 //! Utilization that is assumed at most when the time is estimated in which a queue drains.
 constexpr double max_drain_utilization = 0.8;
-//! Time between requests that free results at an upstream with a limited request rate; its results
-//! are freed together, so that the rate is left to calls.
+//! Shortest time between two release requests to an upstream that limits its request rate. Releases
+//! are collected meanwhile, which leaves more of the rate to calls.
 constexpr milliseconds limited_release_period{1500};
 //! A packer is alone at the upstreams of its pool.
 constexpr instance_rank only_packer{0, 1};
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -57,8 +57,9 @@
     std::string address;  //!< address of this instance in the list of members
 };
 
-//! Instances that share the rates of upstreams. One that has left keeps its part until the requests
-//! that it sent no longer count, as the parts of the others would exceed the rate before.
+//! Instances that share the rates of upstreams. An instance that has left still counts until its
+//! last requests are outside the window; larger parts of the others would exceed the rate until
+//! then.
 struct sharing_members {
     std::map<std::string, instant> last_seen;  //!< by address
     std::uint64_t version{0};                  //!< changes with the addresses
--- a/src/store_sync/read_timing.cpp
+++ b/src/store_sync/read_timing.cpp
@@ -6,14 +6,14 @@
 
 namespace {
 
-//! Time from a lost call to a view with the missed changes: back-off, new connection, read.
+//! Time allowed for reading the missed changes after a lost call: back-off, connection and read.
 constexpr milliseconds recovery_time{500};
-//! Time from out-of-date data of a peer to a view with the missed changes: one tick and a read.
+//! Time allowed for reading the store once the data of a peer is too old: one tick and one read.
 constexpr milliseconds takeover_time{600};
 //! Shortest wait and period, which bound the calls of an instance to the store.
 constexpr milliseconds min_watch_wait{200};
 constexpr milliseconds min_probe_period{400};
-//! Upper limits where the bounds leave more time, as callers are served by what is known.
+//! Upper limits, for deployments with long bounds: requests are better served by recent data.
 constexpr milliseconds max_watch_wait{4000};
 constexpr milliseconds max_coalescing_pause{400};
 constexpr milliseconds max_stale_after{1400};  // data of a healthy peer is at most 0.5 s old
@@ -24,8 +24,8 @@
 }  // namespace
 
 read_timing derive_read_timing(const sync_bounds& bounds, milliseconds apply) {
-    // A change that a lost watch missed was stored after the watch began, and the connection was
-    // lost after that, so both bounds count from the beginning of the watch or later.
+    // A lost watch began before the changes that it missed and before its connection failed. Both
+    // bounds start no earlier than the watch, so it may last as long as the longer one.
     const milliseconds latest = std::max(bounds.contact, apply);
     const milliseconds wait = latest - response_grace - recovery_time;
     return {std::clamp(wait, min_watch_wait, max_watch_wait),
--- a/src/store_sync/read_timing.h
+++ b/src/store_sync/read_timing.h
@@ -23,7 +23,7 @@
     milliseconds max_age{0};
 };
 
-//! Time beyond its wait after which a call counts as lost; the store responds in 4 ms.
+//! Time that the response to a call may take beyond the wait that the call asks for.
 inline constexpr milliseconds response_grace{500};
 
 //! Timing of a topic whose changes have to be in force within `apply`, and within the contact time
--- a/src/upstream_directives/upstream_directives.cpp
+++ b/src/upstream_directives/upstream_directives.cpp
@@ -12,7 +12,7 @@
 constexpr double recheck_fraction = 0.25;
 //! Longest time for which a directive delays a request.
 constexpr milliseconds max_delay{3'600'000};
-//! Lowest rate that is told apart from none.
+//! Lower rates are treated as this one.
 constexpr double min_per_second = 0.001;
 
 milliseconds period_of(double per_second) {
