--- a/src/serving/fleet_state.cpp
+++ b/src/serving/fleet_state.cpp
@@ -73,8 +73,8 @@
 //! Applies a written suspect. Returns true if its value changed.
 bool apply_suspect(fleet_state& state, const stored_suspect& written, instant now,
                    fleet_changes& out) {
-    const suspect_part& value = written.value;
-    const auto [entry, is_new] = state.suspects.try_emplace(value.part);
+    const crash_suspect& value = written.value;
+    const auto [entry, is_new] = state.suspects.try_emplace(value.key);
     stored_suspect& known = entry->second.stored;
     if (!is_new && known.revision >= written.revision) {
         return false;
@@ -87,22 +87,22 @@
     entry->second = {written, now};
     mark_suspects_changed(state);
     if (!is_quarantined(value)) {
-        out.push_back({was_quarantined ? "prompt_part_cleared" : "prompt_part_suspected",
-                       value.part, value.crashes.size()});
+        out.push_back({was_quarantined ? "prompt_part_cleared" : "prompt_part_suspected", value.key,
+                       value.crashes.size()});
     } else if (!was_quarantined) {
-        out.push_back({"prompt_part_quarantined", value.part, value.crashes.size()});
+        out.push_back({"prompt_part_quarantined", value.key, value.crashes.size()});
     }
     return true;
 }
 
 //! Removes a suspect unless it was written after the revision.
-void apply_suspect_removal(fleet_state& state, const std::string& part, std::uint64_t revision,
+void apply_suspect_removal(fleet_state& state, const std::string& key, std::uint64_t revision,
                            fleet_changes& out) {
-    const auto known = state.suspects.find(part);
+    const auto known = state.suspects.find(key);
     if (known == state.suspects.end() || known->second.stored.revision > revision) {
         return;
     }
-    out.push_back({"prompt_part_cleared", part, 0});
+    out.push_back({"prompt_part_cleared", key, 0});
     state.suspects.erase(known);
     mark_suspects_changed(state);
 }
@@ -112,24 +112,24 @@
                         fleet_changes& out) {
     bool is_changed = false;
     std::set<std::string> missing;
-    for (const auto& [part, known] : state.suspects) {
-        missing.insert(part);
+    for (const auto& [key, known] : state.suspects) {
+        missing.insert(key);
     }
     for (const stored_suspect& suspect : list.suspects) {
-        missing.erase(suspect.value.part);
+        missing.erase(suspect.value.key);
         is_changed = apply_suspect(state, suspect, now, out) || is_changed;
     }
-    for (const std::string& part : missing) {
-        apply_suspect_removal(state, part, list.revision, out);
+    for (const std::string& key : missing) {
+        apply_suspect_removal(state, key, list.revision, out);
     }
     return is_changed;
 }
 
 //! The suspects to publish.
-std::shared_ptr<const suspect_parts> make_suspect_parts(const fleet_state& state) {
-    auto suspects = std::make_shared<suspect_parts>();
-    for (const auto& [part, known] : state.suspects) {
-        suspects->emplace_hint(suspects->end(), part, known.stored.value);
+std::shared_ptr<const crash_suspects> make_crash_suspects(const fleet_state& state) {
+    auto suspects = std::make_shared<crash_suspects>();
+    for (const auto& [key, known] : state.suspects) {
+        suspects->emplace_hint(suspects->end(), key, known.stored.value);
     }
     return suspects;
 }
@@ -155,7 +155,7 @@
         view->members.push_back(instance);
     }
     if (!state.published_suspects) {
-        state.published_suspects = make_suspect_parts(state);
+        state.published_suspects = make_crash_suspects(state);
     }
     view->suspects = state.published_suspects;
     view->upstreams_known = state.upstreams_known;
@@ -221,7 +221,7 @@
                 is_changed = apply_suspect(state, written.suspect, now, out);
             },
             [&](const suspect_removed& removed) {
-                apply_suspect_removal(state, removed.part, removed.revision, out);
+                apply_suspect_removal(state, removed.key, removed.revision, out);
             },
             [&](const store_became_unreachable&) {
                 if (state.store_reached) {
@@ -263,7 +263,7 @@
 
 std::vector<stored_suspect> expired_suspects(const fleet_state& state, instant now) {
     std::vector<stored_suspect> expired;
-    for (const auto& [part, known] : state.suspects) {
+    for (const auto& [key, known] : state.suspects) {
         if (now - known.changed_at >= lifetime_of(known.stored.value)) {
             expired.push_back(known.stored);
         }
--- a/src/serving/fleet_state.h
+++ b/src/serving/fleet_state.h
@@ -65,28 +65,28 @@
     std::string address;
 };
 
-//! A suspect prompt part as stored.
+//! A suspect as stored.
 struct stored_suspect {
-    suspect_part value;
+    crash_suspect value;
     std::uint64_t revision{0};  //!< store revision of the last change
 
     bool operator==(const stored_suspect&) const = default;
 };
 
-//! The complete list of suspect prompt parts was read, as of one revision of the store.
+//! The complete list of suspects was read, as of one revision of the store.
 struct suspects_listed {
     std::vector<stored_suspect> suspects;
     std::uint64_t revision{0};
 };
 
-//! A prompt part became a suspect, or its crashes changed.
+//! A key became a suspect, or its crashes changed.
 struct suspect_written {
     stored_suspect suspect;
 };
 
-//! A prompt part is no longer a suspect.
+//! A key is no longer a suspect.
 struct suspect_removed {
-    std::string part;
+    std::string key;
     std::uint64_t revision{0};
 };
 
@@ -113,7 +113,7 @@
     instant expires_at{};       //!< time when an upstream without a store entry is erased
 };
 
-//! A suspect prompt part and the time of its last change.
+//! A suspect and the time of its last change.
 struct suspect_entry {
     stored_suspect stored;
     instant changed_at{};  //!< when this instance read the last change
@@ -126,10 +126,10 @@
     std::map<upstream_id, upstream_entry> upstreams;
     std::set<zone_name> zones_out_of_service;
     std::map<std::string, member> members;          //!< instances by address
-    std::map<std::string, suspect_entry> suspects;  //!< suspect prompt parts by id
+    std::map<std::string, suspect_entry> suspects;  //!< suspects by key
     //! The suspects as published in views; replaced when they change.
-    std::shared_ptr<const suspect_parts> published_suspects{
-        std::make_shared<const suspect_parts>()};
+    std::shared_ptr<const crash_suspects> published_suspects{
+        std::make_shared<const crash_suspects>()};
     bool upstreams_known{false};      //!< the list of upstreams was read at least once
     bool store_reached{false};        //!< the store answered the last call
     instant store_reachable_since{};  //!< end of the last store outage
--- a/src/serving/tests/suspects_tests.cpp
+++ b/src/serving/tests/suspects_tests.cpp
@@ -74,9 +74,9 @@
         reduce(state, suspects_listed{{make_suspect("x", 2, 15), make_suspect("w", 1, 16)}, 20},
                start + 2s);
     // THEN y is removed and z is kept
-    const suspect_parts expected{{"w", make_suspect("w", 1, 0).value},
-                                 {"x", make_suspect("x", 2, 0).value},
-                                 {"z", make_suspect("z", 1, 0).value}};
+    const crash_suspects expected{{"w", make_suspect("w", 1, 0).value},
+                                  {"x", make_suspect("x", 2, 0).value},
+                                  {"z", make_suspect("z", 1, 0).value}};
     CHECK_TRUE(*listed.view->suspects == expected);
     // AND each change is reported
     LONGS_EQUAL(3, listed.changes.size());
--- a/src/serving/types/fleet_view.h
+++ b/src/serving/types/fleet_view.h
@@ -1,7 +1,7 @@
 //! Immutable snapshot of the serving configuration and the fleet, shared by all threads.
 #pragma once
 
-#include "prompt_quarantine/prompt_quarantine.h"
+#include "crash_quarantine/crash_quarantine.h"
 #include "serving/types/serving_config.h"
 #include "types/fleet.h"
 
@@ -32,8 +32,8 @@
     std::shared_ptr<const serving_config> config;
     std::map<pool_name, std::vector<serving_upstream>> pools;  //!< usable upstreams by pool
     std::vector<member> members;  //!< instances of the fleet, including this one
-    //! Prompt parts that were in progress when upstreams crashed; never null.
-    std::shared_ptr<const suspect_parts> suspects{std::make_shared<const suspect_parts>()};
+    //! Keys of requests that were in progress when upstreams crashed; never null.
+    std::shared_ptr<const crash_suspects> suspects{std::make_shared<const crash_suspects>()};
     bool upstreams_known{false};  //!< the list of upstreams was read at least once
     std::uint64_t number{0};      //!< sequence number of the view within this process
 };
