--- a/src/serving/fleet_state.cpp
+++ b/src/serving/fleet_state.cpp
@@ -10,6 +10,9 @@
 
 using fleet_changes = std::vector<fleet_change>;
 
+//! Suspects kept at most, to bound the memory that crashes during an outage of the store take.
+constexpr std::size_t max_suspects = 2048;
+
 //! Returns true while upstreams whose entries expired in an outage may still register again.
 bool may_reregister(const fleet_state& state, instant now) {
     return !state.store_reached || now < state.store_reachable_since + reregistration_time;
@@ -70,41 +73,110 @@
     state.published_suspects.reset();
 }
 
+//! Reports the new value of a suspect and has the next view publish it.
+void report_suspect(fleet_state& state, const crash_suspect& before, const crash_suspect& after,
+                    fleet_changes& out) {
+    mark_suspects_changed(state);
+    const std::string kind = is_request_key(after.key) ? "request" : "prompt_part";
+    const bool was_quarantined = is_quarantined(before);
+    if (!is_quarantined(after)) {
+        const bool is_cleared = was_quarantined || after.crashes.empty();
+        out.push_back(
+            {kind + (is_cleared ? "_cleared" : "_suspected"), after.key, after.crashes.size()});
+    } else if (!was_quarantined) {
+        out.push_back({kind + "_quarantined", after.key, after.crashes.size()});
+    }
+}
+
 //! Applies a written suspect. Returns true if its value changed.
 bool apply_suspect(fleet_state& state, const stored_suspect& written, instant now,
                    fleet_changes& out) {
-    const crash_suspect& value = written.value;
-    const auto [entry, is_new] = state.suspects.try_emplace(value.key);
-    stored_suspect& known = entry->second.stored;
-    if (!is_new && known.revision >= written.revision) {
+    suspect_entry& entry = state.suspects[written.value.key];
+    if (entry.stored.revision >= written.revision) {
         return false;
     }
-    if (!is_new && known.value == value) {
-        known.revision = written.revision;
+    const crash_suspect before = merged_suspect(entry);
+    entry.stored = written;
+    std::erase_if(entry.unconfirmed, [&](const upstream_crash& crash) {
+        return std::ranges::binary_search(written.value.crashes, crash);
+    });
+    const crash_suspect after = merged_suspect(entry);
+    if (after == before) {
         return false;
     }
-    const bool was_quarantined = !is_new && is_quarantined(known.value);
-    entry->second = {written, now};
-    mark_suspects_changed(state);
-    if (!is_quarantined(value)) {
-        out.push_back({was_quarantined ? "prompt_part_cleared" : "prompt_part_suspected", value.key,
-                       value.crashes.size()});
-    } else if (!was_quarantined) {
-        out.push_back({"prompt_part_quarantined", value.key, value.crashes.size()});
+    entry.changed_at = now;
+    report_suspect(state, before, after, out);
+    return true;
+}
+
+//! Applies a crash that this instance saw itself. Returns true if the suspect changed.
+bool apply_seen_crash(fleet_state& state, const crash_seen& seen, instant now, fleet_changes& out) {
+    if (!state.suspects.contains(seen.key) && state.suspects.size() >= max_suspects) {
+        out.push_back({"suspect_dropped", seen.key, state.suspects.size()});
+        return false;
     }
+    suspect_entry& entry = state.suspects[seen.key];
+    entry.stored.value.key = seen.key;
+    const crash_suspect before = merged_suspect(entry);
+    crash_suspect after = before;
+    if (!add_crash(after, seen.crash)) {
+        return false;
+    }
+    entry.unconfirmed.push_back(seen.crash);
+    entry.changed_at = now;
+    report_suspect(state, before, after, out);
     return true;
 }
 
+//! Drops the unconfirmed crashes for which `is_dropped` holds, and the suspect if none is left.
+template <typename Predicate>
+void drop_unconfirmed(fleet_state& state, const std::string& key, Predicate is_dropped,
+                      fleet_changes& out) {
+    const auto found = state.suspects.find(key);
+    if (found == state.suspects.end()) {
+        return;
+    }
+    suspect_entry& entry = found->second;
+    const crash_suspect before = merged_suspect(entry);
+    if (std::erase_if(entry.unconfirmed, is_dropped) == 0) {
+        return;
+    }
+    report_suspect(state, before, merged_suspect(entry), out);
+    if (entry.stored.revision == 0 && entry.unconfirmed.empty()) {
+        state.suspects.erase(found);
+    }
+}
+
+//! Drops the unconfirmed crashes of suspects whose lifetime has passed.
+void expire_unconfirmed(fleet_state& state, instant now, fleet_changes& out) {
+    std::vector<std::string> expired;
+    for (const auto& [key, entry] : state.suspects) {
+        if (!entry.unconfirmed.empty() &&
+            now - entry.changed_at >= lifetime_of(merged_suspect(entry))) {
+            expired.push_back(key);
+        }
+    }
+    for (const std::string& key : expired) {
+        drop_unconfirmed(
+            state, key, [](const upstream_crash& /*any*/) { return true; }, out);
+    }
+}
+
 //! Removes a suspect unless it was written after the revision.
 void apply_suspect_removal(fleet_state& state, const std::string& key, std::uint64_t revision,
                            fleet_changes& out) {
     const auto known = state.suspects.find(key);
-    if (known == state.suspects.end() || known->second.stored.revision > revision) {
+    if (known == state.suspects.end() || known->second.stored.revision > revision ||
+        known->second.stored.revision == 0) {
         return;
     }
-    out.push_back({"prompt_part_cleared", key, 0});
-    state.suspects.erase(known);
-    mark_suspects_changed(state);
+    suspect_entry& entry = known->second;
+    const crash_suspect before = merged_suspect(entry);
+    entry.stored = {{key, {}}, 0};
+    report_suspect(state, before, merged_suspect(entry), out);
+    if (entry.unconfirmed.empty()) {
+        state.suspects.erase(known);
+    }
 }
 
 //! Replaces the suspects with those of a complete list. Returns true if a value changed.
@@ -129,7 +201,7 @@
 std::shared_ptr<const crash_suspects> make_crash_suspects(const fleet_state& state) {
     auto suspects = std::make_shared<crash_suspects>();
     for (const auto& [key, known] : state.suspects) {
-        suspects->emplace_hint(suspects->end(), key, known.stored.value);
+        suspects->emplace_hint(suspects->end(), key, merged_suspect(known));
     }
     return suspects;
 }
@@ -223,6 +295,12 @@
             [&](const suspect_removed& removed) {
                 apply_suspect_removal(state, removed.key, removed.revision, out);
             },
+            [&](const crash_seen& seen) { is_changed = apply_seen_crash(state, seen, now, out); },
+            [&](const crash_disproved& disproved) {
+                drop_unconfirmed(
+                    state, disproved.key,
+                    [&](const upstream_crash& crash) { return crash.pool == disproved.pool; }, out);
+            },
             [&](const store_became_unreachable&) {
                 if (state.store_reached) {
                     state.store_reached = false;
@@ -236,7 +314,7 @@
                     out.push_back({"store_regained", "store", 0});
                 }
             },
-            [](const fleet_tick&) {},
+            [&](const fleet_tick&) { expire_unconfirmed(state, now, out); },
         },
         event);
     return is_changed;
@@ -261,10 +339,19 @@
     return reduce(state, std::span(&event, 1), now);
 }
 
+crash_suspect merged_suspect(const suspect_entry& entry) {
+    crash_suspect merged = entry.stored.value;
+    for (const upstream_crash& crash : entry.unconfirmed) {
+        add_crash(merged, crash);
+    }
+    return merged;
+}
+
 std::vector<stored_suspect> expired_suspects(const fleet_state& state, instant now) {
     std::vector<stored_suspect> expired;
     for (const auto& [key, known] : state.suspects) {
-        if (now - known.changed_at >= lifetime_of(known.stored.value)) {
+        if (known.stored.revision != 0 &&
+            now - known.changed_at >= lifetime_of(merged_suspect(known))) {
             expired.push_back(known.stored);
         }
     }
--- a/src/serving/fleet_state.h
+++ b/src/serving/fleet_state.h
@@ -90,6 +90,19 @@
     std::uint64_t revision{0};
 };
 
+//! This instance saw an upstream crash while it ran a request with the key. In force at once; the
+//! store may take the crash later.
+struct crash_seen {
+    std::string key;
+    upstream_crash crash;
+};
+
+//! This instance's responses disprove the crashes of a pool that the store hasn't confirmed.
+struct crash_disproved {
+    std::string key;
+    pool_name pool;
+};
+
 //! The store no longer answers.
 struct store_became_unreachable {};
 
@@ -103,7 +116,8 @@
     std::variant<serving_config_read, upstreams_listed, upstream_written, upstream_removed,
                  zones_out_of_service_listed, zone_taken_out_of_service, zone_returned_to_service,
                  members_listed, member_written, member_removed, suspects_listed, suspect_written,
-                 suspect_removed, store_became_unreachable, store_became_reachable, fleet_tick>;
+                 suspect_removed, crash_seen, crash_disproved, store_became_unreachable,
+                 store_became_reachable, fleet_tick>;
 
 //! An upstream and the state of its store entry.
 struct upstream_entry {
@@ -113,10 +127,11 @@
     instant expires_at{};       //!< time when an upstream without a store entry is erased
 };
 
-//! A suspect and the time of its last change.
+//! A suspect: what the store holds, and what this instance saw and the store doesn't hold yet.
 struct suspect_entry {
-    stored_suspect stored;
-    instant changed_at{};  //!< when this instance read the last change
+    stored_suspect stored;  //!< revision 0: the store holds no entry
+    std::vector<upstream_crash> unconfirmed;
+    instant changed_at{};  //!< when this instance read or saw the last change
 };
 
 //! Everything that this instance has read from the store.
@@ -158,6 +173,9 @@
 
 fleet_update reduce(fleet_state& state, const store_event& event, instant now);
 
+//! The crashes of a suspect that are in force: those in the store and the unconfirmed ones.
+crash_suspect merged_suspect(const suspect_entry& entry);
+
 //! Suspects whose lifetime has passed; their entries are to be deleted from the store.
 std::vector<stored_suspect> expired_suspects(const fleet_state& state, instant now);
 
--- a/src/serving/tests/suspects_tests.cpp
+++ b/src/serving/tests/suspects_tests.cpp
@@ -172,3 +172,39 @@
     LONGS_EQUAL(2, expired_suspects(state, start + 599'999ms).size());
     LONGS_EQUAL(3, expired_suspects(state, start + 600s).size());
 }
+
+TEST(suspects, a_crash_that_was_seen_counts_before_the_store_has_it) {
+    // GIVEN a suspect with one stored crash
+    fleet_state state = make_fleet_state();
+    const upstream_crash seen{{"p"}, "seen@1"};
+    const upstream_crash other{{"q"}, "seen@2"};
+    // WHEN this instance sees two crashes with the key, one of them twice
+    reduce(state, crash_seen{"x", seen}, start + 1s);
+    POINTERS_EQUAL(nullptr, reduce(state, crash_seen{"x", seen}, start + 2s).view.get());
+    const auto update = reduce(state, crash_seen{"x", other}, start + 3s);
+    // THEN the key is quarantined, and the stored value is as before
+    CHECK_TRUE(is_quarantined(update.view->suspects->at("x")));
+    LONGS_EQUAL(1, state.suspects.at("x").stored.value.crashes.size());
+    // AND a removal from the store leaves what was seen
+    reduce(state, suspect_removed{"x", 20}, start + 4s);
+    LONGS_EQUAL(2, merged_suspect(state.suspects.at("x")).crashes.size());
+    // WHEN a response disproves one pool, THEN the other crash stays until its lifetime has passed
+    reduce(state, crash_disproved{"x", {"p"}}, start + 5s);
+    LONGS_EQUAL(1, merged_suspect(state.suspects.at("x")).crashes.size());
+    reduce(state, fleet_tick{}, start + 62s);
+    CHECK_TRUE(state.suspects.contains("x"));
+    reduce(state, fleet_tick{}, start + 64s);
+    CHECK_FALSE(state.suspects.contains("x"));
+}
+
+TEST(suspects, a_stored_crash_is_confirmed_and_no_longer_kept_beside_the_entry) {
+    // GIVEN a crash that this instance saw
+    fleet_state state;
+    const upstream_crash seen{{"p"}, "seen@1"};
+    reduce(state, crash_seen{"x", seen}, start);
+    // WHEN the store's entry has it
+    reduce(state, suspect_written{{{"x", {seen}}, 5}}, start + 1s);
+    // THEN the entry alone decides, so that its removal ends the suspicion
+    CHECK_TRUE(state.suspects.at("x").unconfirmed.empty());
+    CHECK_FALSE(reduce(state, suspect_removed{"x", 6}, start + 2s).view->suspects->contains("x"));
+}
