--- a/src/serving/fleet_state.cpp
+++ b/src/serving/fleet_state.cpp
@@ -1,6 +1,7 @@
 #include "serving/fleet_state.h"
 
 #include "types/overloaded.h"
+#include "types/store_version.h"
 
 #include <algorithm>
 
@@ -10,6 +11,8 @@
 
 using fleet_changes = std::vector<fleet_change>;
 
+//! Time for which a departed upstream is remembered; copies of the store are some seconds old.
+constexpr milliseconds departed_lifetime{30'000};
 //! Suspects kept at most, to bound the memory that crashes during an outage of the store take.
 constexpr std::size_t max_suspects = 2048;
 
@@ -18,26 +21,52 @@
     return !state.store_reached || now < state.store_reachable_since + reregistration_time;
 }
 
+//! True if the version belongs to a later era of the store than the known one.
+bool begins_era(object_version version, object_version known) {
+    return known != 0 && era_of(version) > era_of(known);
+}
+
+//! True if the upstream left in an earlier era, so that its entry stems from an older copy.
+bool has_departed(const fleet_state& state, const serving_upstream& listed,
+                  object_version revision) {
+    const auto found = state.departed.find(listed.id);
+    return found != state.departed.end() && found->second.started_at_ms == listed.started_at_ms &&
+           begins_era(revision, found->second.revision);
+}
+
 //! Applies a written entry. Returns false if it isn't newer than the known one.
-bool apply_write(fleet_state& state, const upstream_written& written, fleet_changes& out) {
+bool apply_write(fleet_state& state, upstream_written written, fleet_changes& out) {
     const auto known = state.upstreams.find(written.upstream.id);
     if (known != state.upstreams.end() && known->second.revision >= written.revision) {
         return false;
     }
+    bool left_in_earlier_era = false;
+    if (known != state.upstreams.end() &&
+        known->second.value.started_at_ms == written.upstream.started_at_ms) {
+        const upstream_entry& entry = known->second;
+        left_in_earlier_era =
+            entry.left_in_earlier_era ||
+            (entry.value.is_leaving && begins_era(written.revision, entry.revision));
+        written.upstream.is_leaving = written.upstream.is_leaving || left_in_earlier_era;
+    }
     const bool is_new = known == state.upstreams.end() || known->second.is_removed;
     const bool starts_leaving =
         written.upstream.is_leaving && (is_new || !known->second.value.is_leaving);
-    state.upstreams[written.upstream.id] = {written.upstream, written.revision, false, {}};
+    state.departed.erase(written.upstream.id);
+    state.upstreams[written.upstream.id] = {
+        written.upstream, written.revision, left_in_earlier_era, false, {}};
     if (starts_leaving) {
-        out.push_back({"upstream_leaving", written.upstream.id.value, written.revision});
+        out.push_back(
+            {"upstream_leaving", written.upstream.id.value, revision_of(written.revision)});
     } else if (is_new) {
-        out.push_back({"upstream_joined", written.upstream.id.value, written.revision});
+        out.push_back(
+            {"upstream_joined", written.upstream.id.value, revision_of(written.revision)});
     }
     return true;
 }
 
 //! Marks an upstream as removed; it expires at once, or later if it may still register again.
-void apply_removal(fleet_state& state, const upstream_id& id, std::uint64_t revision, instant now,
+void apply_removal(fleet_state& state, const upstream_id& id, object_version revision, instant now,
                    fleet_changes& out) {
     const auto known = state.upstreams.find(id);
     if (known == state.upstreams.end() || known->second.is_removed ||
@@ -46,15 +75,28 @@
     }
     known->second.is_removed = true;
     known->second.revision = revision;
-    known->second.expires_at =
-        may_reregister(state, now) ? state.store_reachable_since + reregistration_time : now;
-    out.push_back({"upstream_gone", id.value, revision});
+    known->second.expires_at = now;
+    if (may_reregister(state, now)) {
+        known->second.expires_at = state.store_reachable_since + reregistration_time;
+    } else {
+        state.departed[id] = {known->second.value.started_at_ms, revision, now};
+    }
+    out.push_back({"upstream_gone", id.value, revision_of(revision)});
 }
 
 //! Replaces all upstreams with those of a complete list.
 void apply_list(fleet_state& state, const upstreams_listed& list, instant now, fleet_changes& out) {
+    if (begins_era(list.revision, state.upstreams_version)) {
+        // Upstreams that registered after the copy was made register again.
+        state.store_reachable_since = now;
+    }
+    state.upstreams_version = std::max(state.upstreams_version, list.revision);
     std::set<upstream_id> listed;
     for (const serving_upstream& upstream : list.upstreams) {
+        if (has_departed(state, upstream, list.revision)) {
+            out.push_back({"upstream_departed", upstream.id.value, revision_of(list.revision)});
+            continue;
+        }
         listed.insert(upstream.id);
         // Entries get the revision of the list: none of them is newer, and later events carry
         // higher revisions.
@@ -88,6 +130,15 @@
     }
 }
 
+//! Keeps the crashes of an entry that a restored store lacks, until they are stored again.
+void keep_stored_crashes(suspect_entry& entry) {
+    for (const upstream_crash& crash : entry.stored.value.crashes) {
+        if (std::ranges::find(entry.unconfirmed, crash) == entry.unconfirmed.end()) {
+            entry.unconfirmed.push_back(crash);
+        }
+    }
+}
+
 //! Applies a written suspect. Returns true if its value changed.
 bool apply_suspect(fleet_state& state, const stored_suspect& written, instant now,
                    fleet_changes& out) {
@@ -96,6 +147,9 @@
         return false;
     }
     const crash_suspect before = merged_suspect(entry);
+    if (begins_era(written.revision, entry.stored.revision)) {
+        keep_stored_crashes(entry);
+    }
     entry.stored = written;
     std::erase_if(entry.unconfirmed, [&](const upstream_crash& crash) {
         return std::ranges::binary_search(written.value.crashes, crash);
@@ -163,7 +217,7 @@
 }
 
 //! Removes a suspect unless it was written after the revision.
-void apply_suspect_removal(fleet_state& state, const std::string& key, std::uint64_t revision,
+void apply_suspect_removal(fleet_state& state, const std::string& key, object_version revision,
                            fleet_changes& out) {
     const auto known = state.suspects.find(key);
     if (known == state.suspects.end() || known->second.stored.revision > revision ||
@@ -172,6 +226,11 @@
     }
     suspect_entry& entry = known->second;
     const crash_suspect before = merged_suspect(entry);
+    if (begins_era(revision, entry.stored.revision)) {
+        keep_stored_crashes(entry);
+        entry.stored = {{key, {}}, 0};
+        return;
+    }
     entry.stored = {{key, {}}, 0};
     report_suspect(state, before, merged_suspect(entry), out);
     if (entry.unconfirmed.empty()) {
@@ -213,6 +272,71 @@
            }) != 0;
 }
 
+//! Replaces the zones out of service. After a restoration, zones that the copy lacks stay out until
+//! operators have repeated what was lost.
+void apply_zone_list(fleet_state& state, const zones_out_of_service_listed& listed, instant now,
+                     fleet_changes& out) {
+    std::set<zone_name> zones = listed.zones;
+    if (begins_era(listed.revision, state.zones_version)) {
+        for (const zone_name& zone : state.zones_out_of_service) {
+            if (zones.insert(zone).second) {
+                state.zones_kept_until[zone] = now + rewrite_time;
+            }
+        }
+    } else {
+        state.zones_kept_until.clear();
+    }
+    state.zones_version = std::max(state.zones_version, listed.revision);
+    if (zones != state.zones_out_of_service) {
+        state.zones_out_of_service = std::move(zones);
+        out.push_back({"zones_out", std::to_string(state.zones_out_of_service.size()), 0});
+    }
+}
+
+//! Replaces the members; like `apply_zone_list` after a restoration. Returns true if they changed.
+bool apply_member_list(fleet_state& state, const members_listed& listed, instant now) {
+    std::map<std::string, member> members;
+    for (const member& instance : listed.members) {
+        members[instance.address] = instance;
+    }
+    if (begins_era(listed.revision, state.members_version)) {
+        for (const auto& [address, instance] : state.members) {
+            if (members.emplace(address, instance).second) {
+                state.members_kept_until[address] = now + rewrite_time;
+            }
+        }
+    } else {
+        state.members_kept_until.clear();
+    }
+    state.members_version = std::max(state.members_version, listed.revision);
+    const bool is_changed = members != state.members;
+    state.members = std::move(members);
+    return is_changed;
+}
+
+//! Drops what a restored store lacks and nobody has written again in time. Returns true if the
+//! members changed.
+bool drop_unrepeated(fleet_state& state, instant now, fleet_changes& out) {
+    std::erase_if(state.zones_kept_until, [&](const auto& kept) {
+        if (now < kept.second) {
+            return false;
+        }
+        state.zones_out_of_service.erase(kept.first);
+        out.push_back({"zone_back", kept.first.value, 0});
+        return true;
+    });
+    return std::erase_if(state.members_kept_until, [&](const auto& kept) {
+               return now >= kept.second && state.members.erase(kept.first) != 0;
+           }) != 0;
+}
+
+//! Forgets upstreams that left so long ago that no copy of the store lists them.
+void forget_departed(fleet_state& state, instant now) {
+    std::erase_if(state.departed, [&](const auto& entry) {
+        return now - entry.second.departed_at >= departed_lifetime;
+    });
+}
+
 //! Creates the next view. It excludes upstreams that are leaving or in a zone out of service.
 fleet_view_ptr make_view(fleet_state& state) {
     auto view = std::make_shared<fleet_view>();
@@ -256,30 +380,25 @@
                 apply_removal(state, removed.id, removed.revision, now, out);
             },
             [&](const zones_out_of_service_listed& listed) {
-                if (listed.zones != state.zones_out_of_service) {
-                    state.zones_out_of_service = listed.zones;
-                    out.push_back({"zones_out", std::to_string(listed.zones.size()), 0});
-                }
+                apply_zone_list(state, listed, now, out);
             },
             [&](const zone_taken_out_of_service& taken) {
+                state.zones_kept_until.erase(taken.zone);
                 if (state.zones_out_of_service.insert(taken.zone).second) {
                     out.push_back({"zone_out", taken.zone.value, 0});
                 }
             },
             [&](const zone_returned_to_service& returned) {
+                state.zones_kept_until.erase(returned.zone);
                 if (state.zones_out_of_service.erase(returned.zone) != 0) {
                     out.push_back({"zone_back", returned.zone.value, 0});
                 }
             },
             [&](const members_listed& listed) {
-                std::map<std::string, member> members;
-                for (const member& instance : listed.members) {
-                    members[instance.address] = instance;
-                }
-                is_changed = members != state.members;
-                state.members = std::move(members);
+                is_changed = apply_member_list(state, listed, now);
             },
             [&](const member_written& written) {
+                state.members_kept_until.erase(written.value.address);
                 is_changed = !(state.members[written.value.address] == written.value);
                 state.members[written.value.address] = written.value;
             },
@@ -314,7 +433,11 @@
                     out.push_back({"store_regained", "store", 0});
                 }
             },
-            [&](const fleet_tick&) { expire_unconfirmed(state, now, out); },
+            [&](const fleet_tick&) {
+                expire_unconfirmed(state, now, out);
+                forget_departed(state, now);
+                is_changed = drop_unrepeated(state, now, out);
+            },
         },
         event);
     return is_changed;
--- a/src/serving/fleet_state.h
+++ b/src/serving/fleet_state.h
@@ -20,24 +20,25 @@
 //! The complete list of upstreams was read, as of one revision of the store.
 struct upstreams_listed {
     std::vector<serving_upstream> upstreams;
-    std::uint64_t revision{0};
+    object_version revision{0};
 };
 
 //! An upstream registered or changed its entry.
 struct upstream_written {
     serving_upstream upstream;
-    std::uint64_t revision{0};
+    object_version revision{0};
 };
 
 //! The entry was deleted, or no longer describes a usable upstream.
 struct upstream_removed {
     upstream_id id;
-    std::uint64_t revision{0};
+    object_version revision{0};
 };
 
 //! The complete list of availability zones that operators took out of service.
 struct zones_out_of_service_listed {
     std::set<zone_name> zones;
+    object_version revision{0};
 };
 
 //! An operator took an availability zone out of service.
@@ -53,6 +54,7 @@
 //! The complete list of instances was read.
 struct members_listed {
     std::vector<member> members;
+    object_version revision{0};
 };
 
 //! An instance registered or changed its entry.
@@ -68,7 +70,7 @@
 //! A suspect as stored.
 struct stored_suspect {
     crash_suspect value;
-    std::uint64_t revision{0};  //!< store revision of the last change
+    object_version revision{0};  //!< store revision of the last change
 
     bool operator==(const stored_suspect&) const = default;
 };
@@ -76,7 +78,7 @@
 //! The complete list of suspects was read, as of one revision of the store.
 struct suspects_listed {
     std::vector<stored_suspect> suspects;
-    std::uint64_t revision{0};
+    object_version revision{0};
 };
 
 //! A key became a suspect, or its crashes changed.
@@ -87,7 +89,7 @@
 //! A key is no longer a suspect.
 struct suspect_removed {
     std::string key;
-    std::uint64_t revision{0};
+    object_version revision{0};
 };
 
 //! This instance saw an upstream crash while it ran a request with the key. In force at once; the
@@ -122,9 +124,11 @@
 //! An upstream and the state of its store entry.
 struct upstream_entry {
     serving_upstream value;
-    std::uint64_t revision{0};  //!< store revision of the last change
-    bool is_removed{false};     //!< the store entry no longer exists
-    instant expires_at{};       //!< time when an upstream without a store entry is erased
+    object_version revision{0};  //!< store revision of the last change
+    //! It left in an earlier era of the store. That is final, whatever an older copy says.
+    bool left_in_earlier_era{false};
+    bool is_removed{false};  //!< the store entry no longer exists
+    instant expires_at{};    //!< time when an upstream without a store entry is erased
 };
 
 //! A suspect: what the store holds, and what this instance saw and the store doesn't hold yet.
@@ -134,13 +138,31 @@
     instant changed_at{};  //!< when this instance read or saw the last change
 };
 
+//! An upstream whose entry was deleted while the store was reachable.
+struct departed_upstream {
+    std::uint64_t started_at_ms{0};
+    object_version revision{0};  //!< store version of the deletion
+    instant departed_at{};
+};
+
 //! Everything that this instance has read from the store.
+//!
+//! A store that was restored from an older copy begins a new era. What was known of the era before
+//! stays in force until its writers have repeated it.
 struct fleet_state {
     //! Null until one was read.
     std::shared_ptr<const serving_config> config;
     std::map<upstream_id, upstream_entry> upstreams;
     std::set<zone_name> zones_out_of_service;
-    std::map<std::string, member> members;          //!< instances by address
+    std::map<std::string, member> members;  //!< instances by address
+    //! Upstreams that an older copy of the store may still list.
+    std::map<upstream_id, departed_upstream> departed;
+    object_version upstreams_version{0};  //!< of the last list
+    object_version zones_version{0};
+    object_version members_version{0};
+    //! What a restored store lacks, until it is written again or this time.
+    std::map<zone_name, instant> zones_kept_until;
+    std::map<std::string, instant> members_kept_until;
     std::map<std::string, suspect_entry> suspects;  //!< suspects by key
     //! The suspects as published in views; replaced when they change.
     std::shared_ptr<const crash_suspects> published_suspects{
@@ -167,6 +189,9 @@
 //! Time after a store outage in which upstreams may register again before they are removed.
 inline constexpr milliseconds reregistration_time{2000};
 
+//! Time after a restoration of the store in which operators and instances repeat what it lost.
+inline constexpr milliseconds rewrite_time{10'000};
+
 //! Applies events that arrived together and creates at most one view, since each view copies all
 //! upstreams.
 fleet_update reduce(fleet_state& state, std::span<const store_event> events, instant now);
--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -2,6 +2,7 @@
 
 #include "store_sync/internal/sources.h"
 #include "types/overloaded.h"
+#include "types/store_version.h"
 
 #include <algorithm>
 
@@ -173,8 +174,9 @@
     for (const change_page& page : update.changes) {
         apply_page(topic, update.name, page, out);
     }
-    // If changes are missing, the data stays unconfirmed. The topic is then read from the store.
-    if (topic.version >= update.version) {
+    // If changes are missing, the data stays unconfirmed. The topic is then read from the store. A
+    // source in an earlier era confirms a history that the store has lost.
+    if (topic.version >= update.version && era_of(topic.version) == era_of(update.version)) {
         topic.confirmed_at = std::max(topic.confirmed_at, confirmed_at);
         topic.source_confirmed_at = std::max(topic.source_confirmed_at, confirmed_at);
     }
