--- a/src/serving/shutdown_sequence.cpp
+++ b/src/serving/shutdown_sequence.cpp
@@ -66,6 +66,10 @@
     return {now, grace, shutdown_phase::serving, {}};
 }
 
+instant attempts_end(const shutdown_sequence& sequence) {
+    return sequence.started_at + sequence.grace - aborting_reserve;
+}
+
 shutdown_phase advance(shutdown_sequence& sequence, std::size_t open_requests, instant now) {
     const shutdown_phase before = sequence.phase;
     sequence.phase = std::max(before, phase_by_time(sequence, now));
--- a/src/serving/shutdown_sequence.h
+++ b/src/serving/shutdown_sequence.h
@@ -35,6 +35,9 @@
 //! Starts the stop of an instance whose process is ended by force after `grace`.
 shutdown_sequence start_shutdown(milliseconds grace, instant now);
 
+//! Time at which open attempts at upstreams are cancelled at the latest.
+instant attempts_end(const shutdown_sequence& sequence);
+
 //! Moves to the phase that holds now and returns it. `open_requests` counts the requests that are
 //! being read or served.
 shutdown_phase advance(shutdown_sequence& sequence, std::size_t open_requests, instant now);
