--- a/src/codec/field_names.cpp
+++ b/src/codec/field_names.cpp
@@ -10,7 +10,7 @@
 
 //! The index of a name determines its one-byte wire form: append new names at the end, and never
 //! remove or reorder any.
-constexpr std::array<std::string_view, 88> field_names = {"kind",
+constexpr std::array<std::string_view, 89> field_names = {"kind",
                                                           "from",
                                                           "sequence",
                                                           "versions",
@@ -97,7 +97,8 @@
                                                           "call_waits",
                                                           "memory_waits",
                                                           "drained_in",
-                                                          "limited"};
+                                                          "limited",
+                                                          "crash_key"};
 
 constexpr char first_short_name = '!';
 constexpr char last_printable = '~';
--- a/src/packing/packer.cpp
+++ b/src/packing/packer.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds max_backoff{2000};
 //! A job fails after this many failures of its pieces.
 constexpr int max_piece_failures = 6;
+//! A job fails once this many upstreams have crashed during its calls.
+constexpr int max_crashes_per_job = 3;
 //! Weight of the latest call in the smoothed slowdown factor.
 constexpr double slowdown_smoothing_weight = 0.4;
 //! Weight of the latest release in the smoothed residence time of results.
@@ -335,7 +337,21 @@
     upstream.backoff_until = now + upstream.backoff;
 }
 
-void on_call_failed(packer& state, const call_failed& incoming, instant now) {
+//! Counts a crash for each job of the call; a job that was in progress at too many is rejected.
+void record_crash(packer& state, const open_call& call, instant now, packer_effects& out) {
+    std::set<job_id> jobs;
+    for (const called_piece& piece : call.pieces) {
+        jobs.insert(piece.job);
+    }
+    for (const job_id& id : jobs) {
+        const auto found = state.jobs.find(id);
+        if (found != state.jobs.end() && ++found->second.crashes >= max_crashes_per_job) {
+            reject_job(state, id, pieces_verdict::failed, now, out);
+        }
+    }
+}
+
+void on_call_failed(packer& state, const call_failed& incoming, instant now, packer_effects& out) {
     const auto call = close_call(state, incoming.call);
     if (!call) {
         return;
@@ -343,13 +359,16 @@
     const auto upstream = state.upstreams.find(call->upstream);
     if (upstream != state.upstreams.end()) {
         back_off(upstream->second, now);
-        if (incoming.why == call_failure::broken) {
+        if (incoming.why != call_failure::refused) {
             upstream->second.stored_results.clear();
         }
     }
     for (const called_piece& piece : call->pieces) {
         requeue(state, piece);
     }
+    if (incoming.why == call_failure::crashed) {
+        record_crash(state, *call, now, out);
+    }
 }
 
 void apply_received_directives(packer& state, const directives_received& received, instant now) {
@@ -437,7 +456,7 @@
 call_item make_item(const open_job& open, int piece, instant now) {
     const stage_job& job = open.job;
     const auto left = job.hard_deadline - now;
-    return {job.request, job.stage, piece, left, job.key, job.inputs};
+    return {job.request, job.stage, piece, left, job.key, job.inputs, job.crash_key};
 }
 
 void start_calls(packer& state, instant now, packer_effects& out) {
@@ -458,9 +477,9 @@
         if (pieces.empty()) {
             continue;
         }
-        make_call call{++state.last_call_number, id,
-                       upstream.value.address,   {},
-                       queue.waiting_pieces,     detail::held_bytes(state, upstream)};
+        make_call call{++state.last_call_number,           id, upstream.value.address,
+                       upstream.value.started_at_ms,       {}, queue.waiting_pieces,
+                       detail::held_bytes(state, upstream)};
         for (const called_piece& piece : pieces) {
             open_job& open = state.jobs.at(piece.job);
             open.progress[static_cast<std::size_t>(piece.piece)] = piece_progress::in_call;
@@ -556,7 +575,7 @@
                 release_stored_results(state, released.results, now, out);
             },
             [&](const call_answered& answered) { on_call_answered(state, answered, now, out); },
-            [&](const call_failed& failed) { on_call_failed(state, failed, now); },
+            [&](const call_failed& failed) { on_call_failed(state, failed, now, out); },
             [&](const directives_received& received) {
                 apply_received_directives(state, received, now);
             },
--- a/src/packing/packer.h
+++ b/src/packing/packer.h
@@ -66,6 +66,7 @@
 enum class call_failure {
     refused,  //!< the upstream rejected the call and did no work
     broken,   //!< no valid response; the upstream may have failed
+    crashed,  //!< no valid response, and the upstream can no longer be reached
 };
 
 //! A call ended without outcomes.
@@ -105,6 +106,7 @@
     std::string key;            //!< input key of a stage without inputs
     //! Result handles of earlier stages; null for a stage without inputs.
     std::shared_ptr<const std::vector<std::string>> inputs;
+    std::string crash_key;  //!< of the request
 };
 
 //! Starts a call to an upstream.
@@ -112,6 +114,7 @@
     call_number number{0};  //!< identifies the call in call_answered or call_failed
     upstream_id upstream;
     std::string address;
+    std::uint64_t started_at_ms{0};  //!< tells apart incarnations of the upstream
     std::vector<call_item> items;
     int waiting_pieces{0};        //!< pieces that still wait in the pool, without those of the call
     std::uint64_t held_bytes{0};  //!< results at the upstream before the call
@@ -158,6 +161,9 @@
     std::vector<std::string> results;      //!< handles by piece index; empty until completed
     zone_name zone;   //!< zone of the upstream that completed the last piece so far
     int failures{0};  //!< failures of all pieces so far
+    //! Upstreams that crashed during calls with pieces of the job. Such a job is called alone, so
+    //! that it shows whether it is the one that crashes them.
+    int crashes{0};
 };
 
 //! A result stored by an upstream.
--- a/src/packing/packing_agent.cpp
+++ b/src/packing/packing_agent.cpp
@@ -55,6 +55,7 @@
     message.zone = job.zone;
     message.bytes_to_zone = job.bytes_to_zone;
     message.address = state.self.address;
+    message.crash_key = job.crash_key;
     return message;
 }
 
@@ -192,6 +193,7 @@
     job.depth = message.depth;
     job.zone = message.zone;
     job.bytes_to_zone = message.bytes_to_zone;
+    job.crash_key = message.crash_key;
     return job;
 }
 
--- a/src/packing/selection.cpp
+++ b/src/packing/selection.cpp
@@ -402,6 +402,10 @@
         if (now + duration > job.hard_deadline || should_wait_for_zone(state, upstream, job, now)) {
             continue;
         }
+        const bool is_suspect = open->crashes > 0;
+        if (is_suspect && !selected.empty()) {
+            continue;
+        }
         const bool is_split = remaining_capacity < waiting && waiting <= state.limits.batch;
         if (is_split && !may_split_jobs) {
             continue;
@@ -411,6 +415,9 @@
             pieces_that_fit(free_bytes, job.result_bytes, std::min(remaining_capacity, waiting));
         append_waiting_pieces(*open, count, selected);
         free_bytes -= static_cast<std::uint64_t>(count) * job.result_bytes;
+        if (is_suspect && !selected.empty()) {
+            break;
+        }
     }
     return selected;
 }
--- a/src/packing/tests/packer_tests.cpp
+++ b/src/packing/tests/packer_tests.cpp
@@ -276,6 +276,43 @@
     CHECK_TRUE(again[0].upstream != calls[0].upstream);
 }
 
+// Guards against a job that ends upstream after upstream, and takes its neighbours along.
+TEST(packer, a_job_under_which_upstreams_crash_is_called_alone_and_fails_at_the_third_crash) {
+    // GIVEN three jobs, and an upstream that crashed during a call for the first one
+    packer state = make_packer(
+        {make_upstream("u1"), make_upstream("u2"), make_upstream("u3"), make_upstream("u4")});
+    const auto calls = all_of<make_call>(reduce(state, job_submitted{make_job(1, 1)}, start));
+    (void)reduce(state, call_failed{calls[0].number, call_failure::crashed}, start);
+    (void)reduce(state, job_submitted{make_job(2, 1)}, start);
+    (void)reduce(state, job_submitted{make_job(3, 1)}, start);
+    // WHEN each call for the first job ends in a crash, and all others are answered
+    std::vector<job_rejected> failed;
+    std::size_t completed = 0;
+    for (instant now = start; now < start + 4s; now += 50ms) {
+        (void)reduce(state, packer_tick{}, now);
+        if (state.calls.empty()) {
+            continue;
+        }
+        const auto [number, call] = *state.calls.begin();  // a copy; the call ends below
+        // THEN the first job is in no call with others
+        const bool has_first = std::ranges::any_of(
+            call.pieces, [](const called_piece& piece) { return piece.job.number == 1; });
+        CHECK_TRUE(!has_first || call.pieces.size() == 1);
+        if (has_first) {
+            failed = all_of<job_rejected>(
+                reduce(state, call_failed{number, call_failure::crashed}, now));
+        } else {
+            const make_call answered{number, call.upstream, call.upstream.value + ":80", 0,
+                                     std::vector<call_item>(call.pieces.size())};
+            completed += all_of<job_completed>(complete_call(state, answered, now)).size();
+        }
+    }
+    // AND it fails at the third crash, while the others are completed
+    LONGS_EQUAL(1, failed.size());
+    CHECK_TRUE(failed[0].id.number == 1 && failed[0].why == pieces_verdict::failed);
+    LONGS_EQUAL(2, completed);
+}
+
 TEST(packer, a_timed_out_call_is_repeated_and_its_late_results_are_released) {
     // GIVEN two upstreams, one of them unresponsive during a call
     packer state = make_packer({make_upstream("u1"), make_upstream("u2")});
--- a/src/packing/types/stage_job.h
+++ b/src/packing/types/stage_job.h
@@ -37,6 +37,7 @@
     int priority{0};                //!< 0 is the most urgent
     int depth{0};                   //!< number of earlier stages of the request that are completed
     zone_name zone;                 //!< preferred zone; empty: no preference
+    std::string crash_key;          //!< by which a request that crashes upstreams is known
     //! Bytes transferred between zones if the job runs outside the preferred zone.
     std::uint64_t bytes_to_zone{0};
 };
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -308,6 +308,7 @@
     zone_name zone;                   //!< preferred zone of the upstream; empty if none
     std::uint64_t bytes_to_zone{0};   //!< bytes sent between zones if the job runs in another zone
     std::string address;              //!< peer address of the requester, for the reply
+    std::string crash_key;            //!< by which a request that crashes upstreams is known
 };
 
 //! Cancels a stage job whose request has ended.
