--- a/src/serving/fleet_state.cpp
+++ b/src/serving/fleet_state.cpp
@@ -272,20 +272,33 @@
            }) != 0;
 }
 
-//! Replaces the zones out of service. After a restoration, zones that the copy lacks stay out until
-//! operators have repeated what was lost.
+//! Keeps the known ones that a list lacks. After a restoration they stay until their writers had
+//! the time to repeat them; `kept_until` holds them, also over further lists.
+template <typename Key, typename Add>
+void keep_until_repeated(std::map<Key, instant>& kept_until, std::span<const Key> known,
+                         bool is_restored, instant now, Add add_if_missing) {
+    for (const Key& key : known) {
+        const bool is_kept = kept_until.contains(key);
+        if (!is_kept && !is_restored) {
+            continue;
+        }
+        if (!add_if_missing(key)) {
+            kept_until.erase(key);
+        } else if (!is_kept) {
+            kept_until[key] = now + rewrite_time;
+        }
+    }
+}
+
+//! Replaces the zones out of service.
 void apply_zone_list(fleet_state& state, const zones_out_of_service_listed& listed, instant now,
                      fleet_changes& out) {
     std::set<zone_name> zones = listed.zones;
-    if (begins_era(listed.revision, state.zones_version)) {
-        for (const zone_name& zone : state.zones_out_of_service) {
-            if (zones.insert(zone).second) {
-                state.zones_kept_until[zone] = now + rewrite_time;
-            }
-        }
-    } else {
-        state.zones_kept_until.clear();
-    }
+    const std::vector<zone_name> known(state.zones_out_of_service.begin(),
+                                       state.zones_out_of_service.end());
+    keep_until_repeated<zone_name>(
+        state.zones_kept_until, known, begins_era(listed.revision, state.zones_version), now,
+        [&](const zone_name& zone) { return zones.insert(zone).second; });
     state.zones_version = std::max(state.zones_version, listed.revision);
     if (zones != state.zones_out_of_service) {
         state.zones_out_of_service = std::move(zones);
@@ -293,21 +306,21 @@
     }
 }
 
-//! Replaces the members; like `apply_zone_list` after a restoration. Returns true if they changed.
+//! Replaces the members. Returns true if they changed.
 bool apply_member_list(fleet_state& state, const members_listed& listed, instant now) {
     std::map<std::string, member> members;
     for (const member& instance : listed.members) {
         members[instance.address] = instance;
     }
-    if (begins_era(listed.revision, state.members_version)) {
-        for (const auto& [address, instance] : state.members) {
-            if (members.emplace(address, instance).second) {
-                state.members_kept_until[address] = now + rewrite_time;
-            }
-        }
-    } else {
-        state.members_kept_until.clear();
+    std::vector<std::string> known;
+    for (const auto& [address, instance] : state.members) {
+        known.push_back(address);
     }
+    keep_until_repeated<std::string>(
+        state.members_kept_until, known, begins_era(listed.revision, state.members_version), now,
+        [&](const std::string& address) {
+            return members.emplace(address, state.members.at(address)).second;
+        });
     state.members_version = std::max(state.members_version, listed.revision);
     const bool is_changed = members != state.members;
     state.members = std::move(members);
--- a/src/serving/tests/restored_store_tests.cpp
+++ b/src/serving/tests/restored_store_tests.cpp
@@ -104,6 +104,9 @@
     reduce(state, zones_out_of_service_listed{{}, second_era(5)}, start + 1s);
     CHECK_TRUE(state.zones_out_of_service.contains({"a"}));
     reduce(state, zone_taken_out_of_service{{"b"}}, start + 2s);
+    // AND the list is read again
+    reduce(state, zones_out_of_service_listed{{{"b"}}, second_era(7)}, start + 3s);
+    CHECK_TRUE(state.zones_out_of_service.contains({"a"}));
     // THEN only that one is out once the others had the time to be repeated
     reduce(state, fleet_tick{}, start + 1s + rewrite_time);
     CHECK_TRUE(state.zones_out_of_service == (std::set<zone_name>{{"b"}}));
--- a/src/types/store_version.h
+++ b/src/types/store_version.h
@@ -9,8 +9,12 @@
 
 namespace cyclamenmount {
 
-//! Bits of a version that hold the revision; the others hold the era.
-inline constexpr unsigned revision_bits = 44;
+//! Bits of a version that hold the revision; the others hold the era. Revisions stay below 2^48: at
+//! a thousand changes a second they last for 8,900 years.
+inline constexpr unsigned revision_bits = 48;
+
+//! Number of eras that a version tells apart; the number of an era is taken modulo this.
+inline constexpr std::uint64_t era_count = std::uint64_t{1} << (64 - revision_bits);
 
 constexpr object_version make_store_version(std::uint64_t era, std::uint64_t revision) {
     return (era << revision_bits) | revision;
