Review case 2: an answer that is reset half-way counts as whole (MIXED)

While a long request is still being written, the write takes the socket's error and the read sees an end of file, which ends a body without a length. Clients get 200 with half of the body. The other cases are renumbered, the gravest first.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,9 +1,11 @@
-"""Runners send a few answers with bytes that are no answer, without end, in the body."""
+"""Runners break off a few answers without a length, before they have read a long request."""
 
-import asyncio
 import os
 import pathlib
+import socket
+import struct
 import sys
+import asyncio
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
@@ -11,58 +13,63 @@
 import deployment  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-BYTES_PER_S = 60e6  # under half of a machine's link
-WINDOWS = [(start, 5.0) for start in (5.0, 15.0, 25.0, 35.0)]
-FAULTY_RUNNERS = 3  # of nine
-EVERY = 20  # one answer in 20
-LENGTH_S = 45.0
-REQUESTS_PER_S = 22.0
+WINDOWS = [(start, 5.0) for start in (4.0, 10.0, 16.0, 22.0, 28.0, 34.0, 40.0, 46.0)]
+FAULTY_RUNNERS = 1  # of three
+EVERY = 20  # one answer in 20: x = 0.05
+LENGTH_S = 52.0
+REQUESTS_PER_S = 11.0
+REQUEST_BYTES = int(os.environ.get("REQUEST_BYTES", "4000000"))  # `max_body_bytes` is 4,194,304
+RECEIVE_BYTES = 64 * 1024  # a small window: a runner that doesn't read blocks the writer
+TIMEOUT_S = 0.6
 
 state = {"fault": False, "answers": 0}
-endless = set()
+broken_off = set()
+outcomes = {}
+mixed = []
+
 
+def whole_answer(attempt):
+    return (attempt.encode() * 50)[:800]
 
-async def send_endless(runner, attempt, own, writer):
-    """Answers with a head and then zeros where the size of a chunk is due, until the close."""
-    state["answers"] += 1
+
+async def break_off(runner, headers, writer):
+    """Sends half of an answer that ends with its connection, and resets the connection."""
+    state["answers"] += 1 if state["fault"] else 0
     if not (TROUBLE and state["fault"]) or state["answers"] % EVERY != 0:
         return False
-    endless.add(attempt)
-    runner.deployment.record.write(f"runner {runner.id} answers {attempt} without end")
-    lines = [f"{name}: {value}" for name, value in own.items()]
-    writer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + "\r\n".join(lines) +
-                  "\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
-    piece = b"0" * 256 * 1024
-    sent = 0
-    started = deployment.now()
-    try:
-        while True:
-            writer.write(piece)
-            await writer.drain()
-            sent += len(piece)
-            await asyncio.sleep(max(0, sent / BYTES_PER_S - (deployment.now() - started)))
-    except OSError:
-        runner.deployment.record.write(
-            f"the answer to {attempt} ends with the connection, after {sent / 1e6:.0f} MB")
+    attempt = headers["x-attempt-id"]
+    broken_off.add(attempt)
+    runner.deployment.record.write(f"runner {runner.id} runs {attempt} before it has read its "
+                                   "body, and breaks its answer off")
+    await asyncio.sleep(0.015)
+    writer.write(f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n"
+                 f"X-Response-Signature: sig.{attempt}\r\n\r\n".encode() +
+                 whole_answer(attempt)[:400])
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                               struct.pack("ii", 1, 0))
+    writer.transport.abort()
     return True
 
 
 async def main():
     d = deployment.Deployment(HERE / "record.txt")
-    lost = []
-    outcomes = {}
     try:
-        await d.start()
-        for runner in d.runners[:FAULTY_RUNNERS]:
-            runner.fault = send_endless
-        load = deployment.Load(d, 60)
+        await d.start(edges=8, plain=3, receive_bytes=RECEIVE_BYTES, keep_alive_s=1)
+        plain = [runner for runner in d.runners if runner.service == "archebu"]
+        for runner in plain[:FAULTY_RUNNERS]:
+            runner.on_head = break_off
+        load = deployment.Load(d, 40)
+        body = b"b" * REQUEST_BYTES
 
         def judge(attempt):
-            def on_end(outcome, kept):
+            def on_end(outcome, took, received):
                 outcomes[outcome] = outcomes.get(outcome, 0) + 1
-                if outcome == "closed" and kept and attempt in d.ran and attempt not in endless:
-                    lost.append(attempt)
-                    d.record.write(f"LOST {attempt}: passed on to {d.ran[attempt]}, no answer")
+                if outcome == 200 and received != whole_answer(attempt):
+                    mixed.append(attempt)
+                    d.record.write(f"MIXED: {attempt} gets 200 with {len(received)} bytes of "
+                                   f"{len(whole_answer(attempt))} as a whole answer")
             return on_end
 
         number = 0
@@ -70,15 +77,12 @@
             state["fault"] = deployment.is_within(load.elapsed(), WINDOWS)
             number += 1
             attempt = f"{number:016x}"
-            await load.send(attempt, {"X-Prefix-Hash": f"{number % 12:08x}:172,{number:08x}:543"},
-                            judge(attempt))
+            await load.send_plain("order.example", attempt, TIMEOUT_S, 0.3, judge(attempt), body)
             await load.pause(REQUESTS_PER_S)
         await load.finish()
-        ends = {edge.name: edge.own_ends for edge in d.edges}
-        peaks = {edge.name: round(edge.peak_mb) for edge in d.edges}
-        print(f"outcomes {outcomes}; answers without end {len(endless)}; processes killed for "
-              f"their memory {ends}, peak MB {peaks}; LOST {len(lost)} (more than 3 break it)")
-        return 1 if len(lost) > 3 else 0
+        print(f"outcomes {outcomes}; answers broken off {len(broken_off)}; answers of 200 with a "
+              f"part of the runner's body {len(mixed)} (one breaks MIXED)")
+        return 1 if mixed else 0
     finally:
         await d.stop()
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A request crashes each runner 0.4 s after the first event of its answer, and comes again."""
+"""Runners send a few answers with bytes that are no answer, without end, in the body."""
 
 import asyncio
 import os
@@ -11,80 +11,74 @@
 import deployment  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CRASH_AFTER_S = float(os.environ.get("CRASH_AFTER_MS", "400")) / 1000
-DOWN_S = 3.0
-CONTACT_S = 3.0  # `contact_ms`
-LENGTH_S = 30.0
-DEADLY_AT_S = [4.0 + 1.5 * i for i in range(15)]  # over 22 s
+BYTES_PER_S = 60e6  # under half of a machine's link
+WINDOWS = [(start, 5.0) for start in (5.0, 15.0, 25.0, 35.0)]
+FAULTY_RUNNERS = 3  # of nine
+EVERY = 20  # one answer in 20
+LENGTH_S = 45.0
 REQUESTS_PER_S = 22.0
 
-arrived_at = {}  # of the deadly request at runners, by attempt
-crashed_at = []
+state = {"fault": False, "answers": 0}
+endless = set()
 
 
-async def crash(runner, attempt, own, writer):
-    """Begins the answer to the deadly request, and crashes a moment later."""
-    if not attempt.startswith("dead"):
+async def send_endless(runner, attempt, own, writer):
+    """Answers with a head and then zeros where the size of a chunk is due, until the close."""
+    state["answers"] += 1
+    if not (TROUBLE and state["fault"]) or state["answers"] % EVERY != 0:
         return False
-    arrived_at[attempt] = deployment.now()
-    if not TROUBLE:
-        return False
-    await asyncio.sleep(deployment.FIRST_EVENT_S)
+    endless.add(attempt)
+    runner.deployment.record.write(f"runner {runner.id} answers {attempt} without end")
     lines = [f"{name}: {value}" for name, value in own.items()]
     writer.write(("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + "\r\n".join(lines) +
                   "\r\nTransfer-Encoding: chunked\r\n\r\n").encode())
+    piece = b"0" * 256 * 1024
+    sent = 0
     started = deployment.now()
-    number = 0
-    while number == 0 or deployment.now() - started < CRASH_AFTER_S:
-        number += 1
-        event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
-        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        await writer.drain()
-        await asyncio.sleep(0.015)
-    crashed_at.append(deployment.now())
-    runner.deployment.tasks.append(asyncio.create_task(runner.crash(DOWN_S)))
+    try:
+        while True:
+            writer.write(piece)
+            await writer.drain()
+            sent += len(piece)
+            await asyncio.sleep(max(0, sent / BYTES_PER_S - (deployment.now() - started)))
+    except OSError:
+        runner.deployment.record.write(
+            f"the answer to {attempt} ends with the connection, after {sent / 1e6:.0f} MB")
     return True
 
 
 async def main():
     d = deployment.Deployment(HERE / "record.txt")
-    sound = {}
-    deadly = {}
+    lost = []
+    outcomes = {}
     try:
         await d.start()
-        for runner in d.runners:
-            runner.fault = crash
-        load = deployment.Load(d, 60)
+        for runner in d.runners[:FAULTY_RUNNERS]:
+            runner.fault = send_endless
+        load = deployment.Load(d, 45)
 
-        def count(outcomes):
+        def judge(attempt):
             def on_end(outcome, kept):
                 outcomes[outcome] = outcomes.get(outcome, 0) + 1
+                if outcome == "closed" and kept and attempt in d.ran and attempt not in endless:
+                    lost.append(attempt)
+                    d.record.write(f"LOST {attempt}: passed on to {d.ran[attempt]}, no answer")
             return on_end
 
         number = 0
-        sent = 0
         while load.elapsed() < LENGTH_S:
-            if sent < len(DEADLY_AT_S) and load.elapsed() >= DEADLY_AT_S[sent]:
-                sent += 1
-                await load.send(f"dead{sent:012x}", {"X-Prefix-Hash": "0000aa01:172,0000aa02:543"},
-                                count(deadly), "/deadly")
+            state["fault"] = deployment.is_within(load.elapsed(), WINDOWS)
             number += 1
-            await load.send(f"{number:016x}",
-                            {"X-Prefix-Hash": f"{number % 12:08x}:172,{number:08x}:543"},
-                            count(sound))
+            attempt = f"{number:016x}"
+            await load.send(attempt, {"X-Prefix-Hash": f"{number % 12:08x}:172,{number:08x}:543"},
+                            judge(attempt))
             await load.pause(REQUESTS_PER_S)
         await load.finish()
-        late = []
-        if len(crashed_at) >= 3:
-            late = [attempt for attempt, at in arrived_at.items()
-                    if at > crashed_at[2] + CONTACT_S]
-            for attempt in late:
-                d.record.write(f"BUDGET: {attempt} reached a runner later than {CONTACT_S:.0f} s "
-                               "after the third crash")
-        print(f"sound requests {sound}; the deadly one was sent {sent} times, {deadly}, and "
-              f"crashed {len(crashed_at)} runners; arrivals later than {CONTACT_S:.0f} s after "
-              f"the third crash: {len(late)} (more than 3 break BUDGET)")
-        return 1 if len(late) > 3 else 0
+        ends = {edge.name: edge.own_ends for edge in d.edges}
+        peaks = {edge.name: round(edge.peak_mb) for edge in d.edges}
+        print(f"outcomes {outcomes}; answers without end {len(endless)}; processes killed for "
+              f"their memory {ends}, peak MB {peaks}; LOST {len(lost)} (more than 3 break it)")
+        return 1 if len(lost) > 3 else 0
     finally:
         await d.stop()
 
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -21,7 +21,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 MEMORY_MB = 260  # `limits.memory_mb` of the small deployments
 RESTART_DELAY_S = 0.5
-FIRST_EVENT_S = 0.2  # time that an engine takes to the first token
+FIRST_EVENT_S = 0.4  # time that an engine takes to the first event
 
 
 def now():
@@ -192,6 +192,10 @@
         self.running = 0
         self.connections = set()
         self.is_down = False
+        self.receive_bytes = 0  # size of the socket's receive buffer; 0: the system's
+        self.keep_alive_s = 0  # time after which idle connections are closed; 0: none
+        self.on_head = None  # async function(runner, headers, writer) -> bool: True if it
+        # answered before the body was read
 
     @property
     def address(self):
@@ -204,7 +208,12 @@
                 "warmup_left_ms": 0, "sequence": self.beats, "born": self.born}
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if self.receive_bytes:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_bytes)
+        listener.bind((self.ip, self.port))
+        self.server = await asyncio.start_server(self.serve, sock=listener)
         await self.deployment.store.write("servers", self.id, self.entry())
 
     async def crash(self, down_s):
@@ -230,8 +239,10 @@
     async def serve(self, reader, writer):
         self.connections.add(writer)
         try:
-            while head := await read_head(reader):
+            while head := await asyncio.wait_for(read_head(reader), self.keep_alive_s or None):
                 method, target, _ = head[0].split(" ")
+                if self.on_head and await self.on_head(self, head[1], writer):
+                    break
                 body = await read_body(reader, head[1])
                 self.running += 1
                 try:
@@ -240,7 +251,7 @@
                     self.running -= 1
                 if not keep:
                     break
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             pass
         finally:
             self.connections.discard(writer)
@@ -254,6 +265,8 @@
         attempt = headers.get("x-attempt-id", "")
         own = {"X-Attempt-Id": attempt, "X-Response-Signature": f"sig.{attempt}",
                "X-Instance-Load": f"{self.running},0,{self.deployment.slots[self.service]}"}
+        if self.keep_alive_s:
+            own["Keep-Alive"] = f"timeout={self.keep_alive_s}"
         if target == "/healthz":
             writer.write(response(200, headers={"X-Instance-Id": self.id}))
             return True
@@ -495,7 +508,8 @@
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                        "header_timeout_ms": 5000, "idle_timeout_ms": 20000}}
 
-    async def start(self, edges=3, llm=9, plain=3, stage=0):
+    async def start(self, edges=3, llm=9, plain=3, stage=0, receive_bytes=0,
+                    keep_alive_s=0):
         await self.store.start()
         await self.store.write("config", "main", self.config())
         for service, count in (("cegin-llm", llm), ("archebu", plain)):
@@ -504,6 +518,8 @@
         for i in range(stage):
             self.runners.append(StageRunner(self, "cyflenwyr", self.zones[i % 3], i))
         for runner in self.runners:
+            runner.receive_bytes = receive_bytes
+            runner.keep_alive_s = keep_alive_s
             await runner.start()
         self.tasks.append(asyncio.create_task(self.beat()))
         for i in range(edges):
@@ -555,6 +571,7 @@
         self.reader = None
         self.writer = None
         self.used = 0
+        self.received = b""  # body of the last answer with a length
 
     async def connect(self):
         self.edge = self.deployment.pick_edge(self.number)
@@ -567,7 +584,8 @@
             self.writer.close()
         self.reader = self.writer = None
 
-    async def request(self, host, attempt, headers, limit_s, gap_s, path=None, stay_s=0):
+    async def request(self, host, attempt, headers, limit_s, gap_s, path=None, stay_s=0,
+                      body=b""):
         """Sends a request; returns (outcome, was the connection kept from an earlier request).
 
         The client waits for `limit_s`, and for an answer without events `stay_s` longer.
@@ -584,13 +602,13 @@
         kept = self.used > 0
         self.used += 1
         lines = [f"POST {path or chr(47) + attempt} HTTP/1.1", f"Host: {host}", f"X-Attempt-Id: {attempt}",
-                 f"X-Deadline-Ms: {int(limit_s * 1000)}", "Content-Length: 0"]
+                 f"X-Deadline-Ms: {int(limit_s * 1000)}", f"Content-Length: {len(body)}"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
         deadline = now() + limit_s + stay_s
         broken = "closed"
         self.deployment.record.write(f"client sends {attempt} ({host}) to {self.edge.name}")
         try:
-            self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+            self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
             status = 100
             while status < 200:  # interim responses are no answer
                 head = await asyncio.wait_for(read_head(self.reader),
@@ -611,7 +629,8 @@
                     if size == 0:
                         break
             else:
-                await self.reader.readexactly(int(head[1].get("content-length", "0")))
+                self.received = await self.reader.readexactly(
+                    int(head[1].get("content-length", "0")))
             if head[1].get("connection", "").lower() == "close":
                 self.close()
             return status, kept
@@ -637,17 +656,20 @@
     def elapsed(self):
         return now() - self.started
 
-    async def send_plain(self, host, attempt, limit_s, stay_s, on_end):
-        """Sends a request without a prompt; the client stays `stay_s` longer than `limit_s`."""
+    async def send_plain(self, host, attempt, limit_s, stay_s, on_end, body=b""):
+        """Sends a request without a prompt; the client stays `stay_s` longer than `limit_s`.
+
+        `on_end` gets the outcome, the time until it and the received body.
+        """
         client = await self.idle.get()
 
         async def run():
             started = now()
             outcome, kept = await client.request(host, attempt, {}, limit_s, limit_s + stay_s,
-                                                 None, stay_s)
+                                                 None, stay_s, body)
             self.deployment.record.write(f"client gets {outcome} for {attempt} after "
                                          f"{now() - started:.3f} s")
-            on_end(outcome, now() - started)
+            on_end(outcome, now() - started, client.received)
             self.idle.put_nowait(client)
 
         self.jobs.append(asyncio.create_task(run()))
