--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,11 +1,11 @@
 """Runners break off a few answers without a length, before they have read a long request."""
 
+import asyncio
 import os
 import pathlib
 import socket
 import struct
 import sys
-import asyncio
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "standins"))
