--- a/review/2/case.py
+++ b/review/2/case.py
@@ -19,7 +19,7 @@
 LENGTH_S = 52.0
 REQUESTS_PER_S = 11.0
 REQUEST_BYTES = int(os.environ.get("REQUEST_BYTES", "4000000"))  # `max_body_bytes` is 4,194,304
-RECEIVE_BYTES = 64 * 1024  # a small window: a runner that doesn't read blocks the writer
+RECEIVE_BYTES = 16 * 1024  # a small window: a runner that does not read blocks the writer
 TIMEOUT_S = 0.6
 
 state = {"fault": False, "answers": 0}
