--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 WINDOWS = [(start, 5.0) for start in (4.0, 10.0, 16.0, 22.0, 28.0, 34.0, 40.0, 46.0)]
 FAULTY_RUNNERS = 1  # of three
-EVERY = 20  # one answer in 20: x = 0.05
+EVERY = 38  # one answer in 38: x = 0.026
 LENGTH_S = 52.0
 REQUESTS_PER_S = 11.0
 REQUEST_BYTES = int(os.environ.get("REQUEST_BYTES", "4000000"))  # `max_body_bytes` is 4,194,304
