--- /dev/null
+++ b/src/http_exchange/message_reader.cpp
@@ -0,0 +1,50 @@
+#include "http_exchange/message_reader.h"
+
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace cyclamenmount {
+
+namespace {
+
+//! Most bytes received at once.
+constexpr std::size_t receive_bytes = std::size_t{64} * 1024;
+
+}  // namespace
+
+template <bool is_request>
+task<error_code> read_step(connection& from, http::basic_parser<is_request>& parser) {
+    error_code failed = http::error::need_more;
+    if (from.buffer.size() != 0) {
+        const std::size_t used = parser.put(from.buffer.data(), failed);
+        from.buffer.consume(used);
+    }
+    if (failed != http::error::need_more) {
+        co_return failed;
+    }
+    const std::size_t size = beast::read_size(from.buffer, receive_bytes);
+    if (size == 0) {
+        co_return http::error::buffer_overflow;
+    }
+    const std::size_t count =
+        co_await from.socket.async_read_some(from.buffer.prepare(size), redirect_error_to(failed));
+    from.buffer.commit(count);
+    if (failed != asio::error::eof) {
+        co_return failed;
+    }
+    if (!parser.got_some()) {
+        co_return http::error::end_of_stream;
+    }
+    parser.put_eof(failed);
+    co_return failed;
+}
+
+template task<error_code> read_step<true>(connection&, http::basic_parser<true>&);
+template task<error_code> read_step<false>(connection&, http::basic_parser<false>&);
+
+bool is_over_limit(const error_code& failed) {
+    return failed == http::error::buffer_overflow || failed == http::error::header_limit ||
+           failed == http::error::body_limit;
+}
+
+}  // namespace cyclamenmount
--- a/src/serving/event_splitter.h
+++ b/src/serving/event_splitter.h
@@ -20,9 +20,9 @@
         return last_id_;
     }
 
-    //! Returns true if an incomplete event is buffered.
-    [[nodiscard]] bool has_partial() const {
-        return !partial_.empty();
+    //! Number of buffered bytes of an incomplete event.
+    [[nodiscard]] std::size_t partial_bytes() const {
+        return partial_.size();
     }
 
     //! Discards an incomplete event after the stream was interrupted.
--- a/src/serving/tests/event_splitter_tests.cpp
+++ b/src/serving/tests/event_splitter_tests.cpp
@@ -17,7 +17,7 @@
     STRCMP_EQUAL("", first.c_str());
     STRCMP_EQUAL("", second.c_str());
     STRCMP_EQUAL("id: 0\ndata: x\n\n", third.c_str());
-    CHECK_TRUE(splitter.has_partial());
+    LONGS_EQUAL(6, splitter.partial_bytes());
     LONGS_EQUAL(0, *splitter.last_id());
 }
 
@@ -32,5 +32,5 @@
     // THEN only events 2 and 3 are returned
     STRCMP_EQUAL("id: 2\ndata: b\n\nid: 3\ndata: c\n\n", rest.c_str());
     LONGS_EQUAL(3, *splitter.last_id());
-    CHECK_FALSE(splitter.has_partial());
+    LONGS_EQUAL(0, splitter.partial_bytes());
 }
--- a/src/upstreams/tests/scripted_upstream.h
+++ b/src/upstreams/tests/scripted_upstream.h
@@ -36,6 +36,19 @@
         (void)::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     }
 
+    //! Sends the bytes again and again until the client closes the connection.
+    void send_endlessly(const std::string& bytes) const {
+        std::size_t sent = 0;
+        while (true) {
+            const auto count =
+                ::send(descriptor_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            if (count <= 0) {
+                return;
+            }
+            sent = (sent + static_cast<std::size_t>(count)) % bytes.size();
+        }
+    }
+
     //! Lets the following close send a reset (RST) instead of a normal end.
     void reset() const {
         const linger abortive{1, 0};
