--- a/src/http_exchange/client_exchange.cpp
+++ b/src/http_exchange/client_exchange.cpp
@@ -79,6 +79,7 @@
         error_code failed;
         co_await http::async_write(to->socket, state->serializer, redirect_error_to(failed));
         state->is_done = !failed;
+        state->request.body().reset();
     };
     if (shared_body::size(writing_->request.body()) < min_concurrent_write_bytes) {
         co_await write(with_, writing_);
--- a/src/http_exchange/message_reader.cpp
+++ b/src/http_exchange/message_reader.cpp
@@ -47,4 +47,13 @@
            failed == http::error::body_limit;
 }
 
+std::size_t memory_of(const http::fields& headers) {
+    constexpr std::size_t overhead = 96;  // of a field: its allocation, list and set nodes
+    std::size_t bytes = 0;
+    for (const auto& field : headers) {
+        bytes += overhead + field.name_string().size() + field.value().size();
+    }
+    return bytes;
+}
+
 }  // namespace cyclamenmount
--- a/src/http_exchange/message_reader.h
+++ b/src/http_exchange/message_reader.h
@@ -21,4 +21,7 @@
 //! True if a message was rejected because it exceeds a limit.
 bool is_over_limit(const error_code& failed);
 
+//! Estimate of the memory that parsed headers take.
+std::size_t memory_of(const http::fields& headers);
+
 }  // namespace cyclamenmount
--- /dev/null
+++ b/src/http_exchange/server_exchange.h
@@ -0,0 +1,29 @@
+//! Server side of HTTP/1.1: reading of requests within limits.
+#pragma once
+
+#include "http_exchange/message_reader.h"
+#include "http_exchange/receive_ledger.h"
+
+#include <optional>
+
+#include <boost/beast/http/string_body.hpp>
+
+namespace cyclamenmount {
+
+struct request_limits {
+    std::size_t header_bytes{0};  //!< request line and headers
+    std::size_t body_bytes{0};
+    milliseconds header_time{0};
+    milliseconds body_time{0};    //!< from the end of the headers
+    milliseconds retry_after{0};  //!< of requests that are refused for lack of memory
+};
+
+using received_request = http::request<http::string_body>;
+
+//! Reads a request and books what it keeps. None if the connection ended or a limit of time passed;
+//! an invalid request, and one that exceeds a limit, is refused first. The framing of the body is
+//! bounded by the maximum size of the connection's buffer.
+task<std::optional<received_request>> read_request(connection_ptr from, request_limits limits,
+                                                   receive_account& account);
+
+}  // namespace cyclamenmount
