--- a/src/serving/event_splitter.cpp
+++ b/src/serving/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "serving/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace cyclamenmount {
@@ -34,17 +35,21 @@
 }  // namespace
 
 std::string event_splitter::feed(std::string_view bytes) {
+    // What was searched before holds no terminator, but may end with a part of one.
+    std::size_t search_from =
+        partial_.size() - std::min(partial_.size(), event_terminator.size() - 1);
     partial_.append(bytes);
     std::string complete;
     std::size_t begin = 0;
     while (true) {
-        const std::size_t end = partial_.find(event_terminator, begin);
+        const std::size_t end = partial_.find(event_terminator, search_from);
         if (end == std::string::npos) {
             break;
         }
         const std::size_t next = end + event_terminator.size();
         const std::string_view event = std::string_view(partial_).substr(begin, next - begin);
         begin = next;
+        search_from = next;
         const auto id = parse_id(event);
         const bool is_duplicate = id && last_id_ && *id <= *last_id_;
         if (!is_duplicate) {
