--- a/src/callers/request_fields.cpp
+++ b/src/callers/request_fields.cpp
@@ -1,5 +1,6 @@
 #include "callers/internal/request_fields.h"
 
+#include "codec/json_split.h"
 #include "secrets/secrets.h"
 
 #include <algorithm>
@@ -93,7 +94,7 @@
 }
 
 decided<pipeline_body> parse_pipeline_body(std::string_view text) {
-    const json value = json::parse(text, nullptr, false);
+    const json value = parse_bounded_json(text).value_or(json());
     if (!value.is_object()) {
         return refuse(refusal_reason::malformed, "the body must be a JSON object", "body");
     }
--- a/src/serving/tests/event_splitter_tests.cpp
+++ b/src/serving/tests/event_splitter_tests.cpp
@@ -46,8 +46,7 @@
     STRCMP_EQUAL("", splitter.feed("id: 0\ndata: x\n").c_str());
     // WHEN the second part arrives
     // THEN all three are returned, and the rest is kept
-    STRCMP_EQUAL("id: 0\ndata: x\n\n\n\nid: 1\n\n",
-                 splitter.feed("\n\n\nid: 1\n\nid: 2").c_str());
+    STRCMP_EQUAL("id: 0\ndata: x\n\n\n\nid: 1\n\n", splitter.feed("\n\n\nid: 1\n\nid: 2").c_str());
     LONGS_EQUAL(5, splitter.partial_bytes());
 }
 
--- a/platform/tests/memory_probe.h
+++ b/src/testing/memory_probe.h
@@ -1,6 +1,7 @@
-//! Measures the memory of the test process while an edge process in it receives.
+//! Measures the memory of a test process, e.g. while code under test receives bytes without end.
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <cstddef>
--- a/src/upstream_control/reports.cpp
+++ b/src/upstream_control/reports.cpp
@@ -1,5 +1,6 @@
 #include "upstream_control/internal/reports.h"
 
+#include "codec/json_split.h"
 #include "upstream_control/upstream_control.h"
 
 #include <charconv>
@@ -15,7 +16,7 @@
 using nlohmann::json;
 
 std::optional<upstream_report> parse_status(const std::string& text) {
-    const json body = json::parse(text, nullptr, false);
+    const json body = parse_bounded_json(text).value_or(json());
     if (!body.is_object()) {
         return std::nullopt;
     }
--- a/src/upstreams/response_reader.cpp
+++ b/src/upstreams/response_reader.cpp
@@ -1,5 +1,6 @@
 #include "upstreams/internal/response_reader.h"
 
+#include "codec/json_split.h"
 #include "upstream_control/upstream_control.h"
 
 #include <algorithm>
@@ -68,7 +69,7 @@
 }
 
 json parse_json(std::string_view text) {
-    return json::parse(text, nullptr, false);
+    return parse_bounded_json(text).value_or(json(json::value_t::discarded));
 }
 
 bool echo_matches(const echoed_headers& echo, const attempt_call& call) {
--- a/src/upstreams/tests/upstream_client_tests.cpp
+++ b/src/upstreams/tests/upstream_client_tests.cpp
@@ -1,4 +1,5 @@
 // Tests of the upstream protocol with connection and response faults on real sockets.
+#include "testing/memory_probe.h"
 #include "upstreams/tests/scripted_upstream.h"
 #include "upstreams/upstream_client.h"
 
@@ -251,6 +252,55 @@
     }
 }
 
+// Guards against an upstream whose bytes take the memory of the process, and with it all requests.
+TEST(upstream_client, a_response_without_end_takes_little_memory) {
+    const std::string zeros(std::size_t{64} * 1024, '0');
+    const std::string nested(std::size_t{3} * 1024 * 1024, '[');
+    const auto endless = [&](const std::string& begin, const std::string& bytes) {
+        return [&, begin, bytes](const request& r, const reply& s) {
+            s.send("HTTP/1.1 200 OK\r\n" + begin);
+            s.send_endlessly(bytes);
+            (void)r;
+        };
+    };
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+
+    struct endless_case {
+        const char* name;
+        upstream_script script;
+    };
+
+    const endless_case cases[] = {
+        {"a header", endless("x: ", zeros)},
+        {"many headers", endless("", "a: b\r\n")},
+        {"a chunk's size", endless(chunked, zeros)},
+        {"a chunk's extension", endless(chunked + "5;", zeros)},
+        {"a trailer", endless(chunked + "0\r\nx: ", zeros)},
+        {"a body", endless("\r\n", zeros)},
+        {"a nested body",
+         [&](const request& r, const reply& s) {
+             s.send(
+                 answer_head(r, 200, "Content-Length: " + std::to_string(nested.size()) + "\r\n"));
+             s.send(nested);
+         }},
+    };
+    constexpr std::size_t max_growth = std::size_t{24} * 1024 * 1024;
+    for (const endless_case& test_case : cases) {
+        // GIVEN an upstream with the response of this case
+        scripted_upstream upstream(test_case.script);
+        attempt_call call = call_to(upstream.address(), pool_kind::stage);
+        call.deadline = boot_clock::now() + 1500ms;
+        const memory_probe memory;
+
+        // WHEN it is called
+        const ended_attempt ended = run_call(*client, posted, call);
+
+        // THEN the attempt fails, and little was kept
+        CHECK_TEXT(ended.result.outcome != attempt_outcome::ok, test_case.name);
+        CHECK_TEXT(memory.growth() < max_growth, test_case.name);
+    }
+}
+
 TEST(upstream_client, sends_nothing_after_the_start_window) {
     // GIVEN an attempt whose start window has passed
     scripted_upstream upstream([](const request& r, const reply& s) { send_output(r, s, "out"); });
