--- a/src/peers/http2_callbacks.cpp
+++ b/src/peers/http2_callbacks.cpp
@@ -64,22 +64,32 @@
 int http2_callbacks::on_begin_headers(nghttp2_session* /*session*/, const nghttp2_frame* frame,
                                       void* user) {
     auto& owner = session_of(user);
-    owner.incoming_[frame->hd.stream_id].stream = frame->hd.stream_id;
-    return 0;
+    const auto [added, is_new] = owner.incoming_.try_emplace(frame->hd.stream_id);
+    added->second.stream = frame->hd.stream_id;
+    const bool has_room = !is_new || owner.keep(added->second.kept_bytes());
+    return has_room ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
 }
 
 int http2_callbacks::on_header(nghttp2_session* /*session*/, const nghttp2_frame* frame,
                                const std::uint8_t* name, std::size_t name_size,
                                const std::uint8_t* value, std::size_t value_size,
                                std::uint8_t /*flags*/, void* user) {
-    auto& exchange = session_of(user).incoming_[frame->hd.stream_id];
+    auto& owner = session_of(user);
+    const auto found = owner.incoming_.find(frame->hd.stream_id);
+    if (found == owner.incoming_.end()) {
+        return NGHTTP2_ERR_CALLBACK_FAILURE;
+    }
+    http2_exchange& exchange = found->second;
     exchange.header_bytes += name_size + value_size;
     if (exchange.header_bytes > max_header_bytes) {
         return NGHTTP2_ERR_CALLBACK_FAILURE;
     }
     const auto text = to_string_view(value, value_size);
-    if (to_string_view(name, name_size) == ":path") {
+    if (to_string_view(name, name_size) == ":path" && exchange.path.empty()) {
         exchange.path = text;
+        if (!owner.keep(text.size())) {
+            return NGHTTP2_ERR_CALLBACK_FAILURE;
+        }
     } else if (to_string_view(name, name_size) == ":status") {
         std::from_chars(text.data(), text.data() + text.size(), exchange.status);
     }
@@ -101,9 +111,7 @@
     const bool ends_stream = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
     const auto found = owner.incoming_.find(frame->hd.stream_id);
     if (has_payload && ends_stream && found != owner.incoming_.end()) {
-        owner.buffered_bytes_ -= found->second.body.size();
-        owner.finished_.push_back(std::move(found->second));
-        owner.incoming_.erase(found);
+        owner.finished_.push_back(owner.take(found));
     }
     return 0;
 }
@@ -119,8 +127,7 @@
     owner.uploads_.erase(stream);
     const auto found = owner.incoming_.find(stream);
     if (found != owner.incoming_.end()) {
-        owner.buffered_bytes_ -= found->second.body.size();
-        owner.incoming_.erase(found);
+        (void)owner.take(found);
     }
     if (code != NGHTTP2_NO_ERROR && owner.role_ == http2_role::client) {
         http2_exchange failed;
--- a/src/peers/http2_session.cpp
+++ b/src/peers/http2_session.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr std::size_t max_body_bytes = max_message_bytes + 64;  // a batch with one largest message
-constexpr std::size_t max_buffered_bytes = std::size_t{8} << 20U;  // all incomplete bodies together
+constexpr std::size_t max_kept_bytes = std::size_t{8} << 20U;   // all incomplete exchanges together
+constexpr std::size_t max_handshake_bytes = std::size_t{4} << 10U;  // the same before messages
 constexpr std::size_t output_low_water_bytes = std::size_t{64} << 10U;
 constexpr std::size_t read_buffer_bytes = std::size_t{16} << 10U;
 constexpr int max_reads_per_receive = 64;  // one busy connection must not delay the others
@@ -39,6 +40,7 @@
         return session.error();
     }
     created->session_.reset(session.value());
+    created->max_kept_bytes_ = max_handshake_bytes;
     if (!created->open()) {
         return error{error_kind::system,
                      "nghttp2 failed to start an HTTP/2 session with the initial settings"};
@@ -86,16 +88,31 @@
 }
 
 bool http2_session::add_body(std::int32_t stream, std::string_view bytes) {
-    auto& exchange = incoming_[stream];
-    buffered_bytes_ += bytes.size();
-    if (exchange.body.size() + bytes.size() > max_body_bytes ||
-        buffered_bytes_ > max_buffered_bytes) {
+    const auto found = incoming_.find(stream);
+    if (found == incoming_.end() || found->second.body.size() + bytes.size() > max_body_bytes ||
+        !keep(bytes.size())) {
         return false;
     }
-    exchange.body.append(bytes);
+    found->second.body.append(bytes);
     return true;
 }
 
+bool http2_session::keep(std::size_t bytes) {
+    kept_bytes_ += bytes;
+    return kept_bytes_ <= max_kept_bytes_;
+}
+
+http2_exchange http2_session::take(std::map<std::int32_t, http2_exchange>::iterator found) {
+    http2_exchange taken = std::move(found->second);
+    incoming_.erase(found);
+    kept_bytes_ -= taken.kept_bytes();
+    return taken;
+}
+
+void http2_session::accept_messages() {
+    max_kept_bytes_ = max_kept_bytes;
+}
+
 bool http2_session::receive(instant now, std::vector<http2_exchange>& arrived) {
     std::array<std::uint8_t, read_buffer_bytes> buffer{};
     for (int i = 0; i < max_reads_per_receive; ++i) {
--- a/src/peers/incoming.cpp
+++ b/src/peers/incoming.cpp
@@ -37,6 +37,7 @@
         return false;
     }
     peer.authenticated = true;
+    peer.session->accept_messages();
     return peer.session->respond(request.stream, {});
 }
 
--- a/src/peers/internal/http2_session.h
+++ b/src/peers/internal/http2_session.h
@@ -22,6 +22,11 @@
     int status{0};     //!< response status; 0 in a request or if the stream was reset
     std::string body;
     std::size_t header_bytes{0};
+
+    //! Memory that it takes while it is incomplete.
+    [[nodiscard]] std::size_t kept_bytes() const {
+        return sizeof(http2_exchange) + path.size() + body.size();
+    }
 };
 
 //! A body that is being sent.
@@ -56,6 +61,14 @@
     //! Writes pending output until the socket would block.
     bool flush(instant now);
 
+    //! Accepts messages from now on; before, only the short ones of the handshake.
+    void accept_messages();
+
+    //! Memory that incomplete requests or responses take.
+    [[nodiscard]] std::size_t kept_bytes() const {
+        return kept_bytes_;
+    }
+
     [[nodiscard]] bool wants_write() const;
 
     [[nodiscard]] int socket() const {
@@ -100,6 +113,10 @@
     bool open();
     bool fill_output();
     bool add_body(std::int32_t stream, std::string_view bytes);
+    //! Counts memory of incomplete exchanges; false if they take too much.
+    bool keep(std::size_t bytes);
+    //! Removes an incomplete exchange from the map and returns it.
+    http2_exchange take(std::map<std::int32_t, http2_exchange>::iterator found);
 
     descriptor socket_;
     http2_role role_;
@@ -107,7 +124,8 @@
     std::map<std::int32_t, http2_exchange> incoming_;
     std::map<std::int32_t, http2_upload> uploads_;
     std::vector<http2_exchange> finished_;
-    std::size_t buffered_bytes_{0};  //!< size of all bodies in `incoming_`
+    std::size_t kept_bytes_{0};  //!< of all exchanges in `incoming_`
+    std::size_t max_kept_bytes_{0};
     std::string output_;
     std::uint64_t sent_bytes_{0};
     std::uint64_t received_bytes_{0};
--- a/src/peers/internal/outgoing.h
+++ b/src/peers/internal/outgoing.h
@@ -70,6 +70,9 @@
 //! Handles poll events of the connection.
 void handle_events(outgoing_peer& peer, short events, network_context context, instant now);
 
+//! Closes the connection; its reads fail, and a later message opens another one.
+void drop_connection(outgoing_peer& peer, instant now);
+
 //! Completes all reads, sent or queued, with an error and discards all outstanding requests.
 void fail_reads(outgoing_peer& peer, error_kind kind);
 
--- a/src/peers/outgoing.cpp
+++ b/src/peers/outgoing.cpp
@@ -107,6 +107,7 @@
 
 void on_authenticated(outgoing_peer& peer) {
     peer.phase = connection_phase::ready;
+    peer.session->accept_messages();
     peer.backoff = 0ms;
     LOG(INFO) << "Peers: connected to " << peer.transcript.server.value << " at " << peer.address
               << ".";
@@ -280,6 +281,10 @@
     }
 }
 
+void drop_connection(outgoing_peer& peer, instant now) {
+    close_connection(peer, now);
+}
+
 void fail_reads(outgoing_peer& peer, error_kind kind) {
     for (auto& [stream, pending] : peer.in_flight) {
         if (pending.read) {
--- a/src/peers/peer_network.cpp
+++ b/src/peers/peer_network.cpp
@@ -121,6 +121,45 @@
         }
     }
 
+    //! Memory that incomplete messages of all connections take.
+    [[nodiscard]] std::size_t kept_bytes() const {
+        std::size_t bytes = 0;
+        for (const auto& [peer_address, peer] : outgoing) {
+            bytes += peer.session ? peer.session->kept_bytes() : 0;
+        }
+        for (const detail::incoming_peer& peer : incoming) {
+            bytes += peer.session->kept_bytes();
+        }
+        return bytes;
+    }
+
+    //! Closes the connection whose incomplete messages take most if those of all take too much.
+    void enforce_budget(instant now) {
+        const std::size_t total = kept_bytes();
+        if (total <= settings.max_kept_bytes) {
+            return;
+        }
+        const auto kept_by = [](const auto& session) {
+            return session ? session->kept_bytes() : 0;
+        };
+        const auto in = std::ranges::max_element(
+            incoming, {}, [&](const auto& peer) { return kept_by(peer.session); });
+        const auto out = std::ranges::max_element(
+            outgoing, {}, [&](const auto& entry) { return kept_by(entry.second.session); });
+        const std::size_t most_in = in == incoming.end() ? 0 : kept_by(in->session);
+        const std::size_t most_out = out == outgoing.end() ? 0 : kept_by(out->second.session);
+        const bool is_incoming = most_in >= most_out;
+        LOG(WARNING) << "Peers: closed the connection "
+                     << (is_incoming ? "of " + in->transcript.client.value : "to " + out->first)
+                     << ": its incomplete messages take most, " << std::max(most_in, most_out)
+                     << " bytes of " << total << ", over " << settings.max_kept_bytes << ".";
+        if (is_incoming) {
+            incoming.erase(in);
+        } else {
+            detail::drop_connection(out->second, now);
+        }
+    }
+
     //! Waits for socket events and handles them.
     void poll_once() {
         std::vector<pollfd> watched = {{listener.value(), POLLIN, 0},
@@ -153,6 +192,7 @@
                 incoming.erase(it);
             }
         }
+        enforce_budget(now);
         if (watched[0].revents != 0) {
             accept_all(now);
         }
--- a/src/peers/peer_network.h
+++ b/src/peers/peer_network.h
@@ -17,6 +17,9 @@
     std::string secret;  //!< shared by all instances; authenticates peers
     //! A connection is replaced after this time without progress.
     milliseconds progress_timeout{1500};
+    //! Memory that incomplete messages of all connections may take, in bytes. Beyond it the
+    //! connection whose messages take most is closed.
+    std::size_t max_kept_bytes{std::size_t{64} * 1024 * 1024};
 };
 
 //! Handlers that run on the network thread and must not block.
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -1,7 +1,9 @@
 //! Peer network over real sockets: messages and reads, authentication failures, malformed input,
 //! unresponsive peers and restarts.
+#include "peers/internal/handshake.h"
 #include "peers/internal/sockets.h"
 #include "peers/peer_network.h"
+#include "testing/memory_probe.h"
 
 #include <atomic>
 #include <mutex>
@@ -38,19 +40,24 @@
     }
 };
 
-void start_endpoint(endpoint& target, const std::string& id, const std::string& secret = "secret",
-                    const std::string& address = "127.0.0.1:0") {
+void start_endpoint(endpoint& target, peer_network_settings settings) {
+    const std::string id = settings.self.id.value;
     peer_handlers handlers;
     handlers.on_message = [&target](const instance_id& from, peer_message message) {
         const std::lock_guard lock(target.mutex);
         target.received.emplace_back(from.value, std::move(message));
     };
     handlers.on_read = [id](std::string_view query) { return id + ":" + std::string(query); };
-    auto started = peer_network::start({{{id}, address, {"z1"}}, secret, 300ms}, handlers);
+    auto started = peer_network::start(std::move(settings), handlers);
     CHECK_TRUE(started.has_value());
     target.network = std::move(started.value());
 }
 
+void start_endpoint(endpoint& target, const std::string& id, const std::string& secret = "secret",
+                    const std::string& address = "127.0.0.1:0") {
+    start_endpoint(target, {{{id}, address, {"z1"}}, secret, 300ms});
+}
+
 template <typename Condition>
 bool wait_until(Condition done) {
     for (const instant end = boot_clock::now() + test_timeout; boot_clock::now() < end;) {
@@ -93,6 +100,96 @@
     });
 }
 
+//! Client that writes HTTP/2 frames by hand, so that it can leave requests incomplete.
+struct raw_peer {
+    detail::descriptor socket;
+
+    static std::string frame(int type, int flags, int stream, const std::string& payload) {
+        const auto byte = [](std::size_t value) { return static_cast<char>(value & 0xffU); };
+        const std::size_t size = payload.size();
+        return std::string{byte(size >> 16U),
+                           byte(size >> 8U),
+                           byte(size),
+                           byte(static_cast<std::size_t>(type)),
+                           byte(static_cast<std::size_t>(flags)),
+                           0,
+                           0,
+                           0,
+                           byte(static_cast<std::size_t>(stream))} +
+               payload;
+    }
+
+    //! Start of a connection: own settings, and the acknowledgement of the server's.
+    static std::string preface() {
+        constexpr int settings = 4;
+        constexpr int acknowledgement = 1;
+        return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(settings, 0, 0, "") +
+               frame(settings, acknowledgement, 0, "");
+    }
+
+    //! Head of a POST: indexed method and scheme, authority and path as literals.
+    static std::string head(int stream, const std::string& path) {
+        constexpr int end_headers = 4;
+        return frame(1, end_headers, stream,
+                     std::string("\x83\x86\x01\x04peer\x04") + static_cast<char>(path.size()) +
+                         path);
+    }
+
+    static std::string data(int stream, const std::string& bytes, bool is_last) {
+        return frame(0, is_last ? 1 : 0, stream, bytes);
+    }
+
+    //! Reads frames up to one with data, and returns that.
+    [[nodiscard]] std::string read_data() const {
+        constexpr std::size_t header_size = 9;
+        std::string bytes;
+        while (true) {
+            while (bytes.size() >= header_size) {
+                const auto at = [&](std::size_t i) {
+                    return static_cast<std::size_t>(static_cast<unsigned char>(bytes[i]));
+                };
+                const std::size_t size = (at(0) << 16U) + (at(1) << 8U) + at(2);
+                if (bytes.size() < header_size + size) {
+                    break;
+                }
+                if (at(3) == 0) {
+                    return bytes.substr(header_size, size);
+                }
+                bytes.erase(0, header_size + size);
+            }
+            char part[4096];
+            ssize_t count = -1;
+            CHECK_TRUE(wait_until([&] {
+                count = recv(socket.value(), part, sizeof part, MSG_DONTWAIT);
+                return count >= 0;
+            }));
+            CHECK_TRUE(count > 0);
+            bytes.append(part, static_cast<std::size_t>(count));
+        }
+    }
+};
+
+//! Connects a peer that knows the secret.
+raw_peer authenticate(const endpoint& target, const std::string& id) {
+    raw_peer peer{connect_raw(target.network->address())};
+    detail::handshake_transcript transcript;
+    transcript.client = {id};
+    transcript.client_nonce = detail::make_nonce();
+    send_bytes(peer.socket, raw_peer::preface() + raw_peer::head(1, "/hello") +
+                                raw_peer::data(1,
+                                               detail::encode_hello(detail::hello_request{
+                                                   transcript.client, transcript.client_nonce}),
+                                               true));
+    const auto reply = detail::decode_hello_reply(peer.read_data());
+    CHECK_TRUE(reply.has_value());
+    transcript.server = reply.value().server;
+    transcript.server_nonce = reply.value().nonce;
+    send_bytes(peer.socket,
+               raw_peer::head(3, "/auth") +
+                   raw_peer::data(3, detail::client_proof("secret", transcript), true));
+    return peer;
+}
+
 }  // namespace
 
 TEST_GROUP(peers){};
@@ -192,6 +289,57 @@
     LONGS_EQUAL(replaced, a.network->counters().connections_replaced);
 }
 
+// Guards against clients without the secret that take the memory of the process.
+TEST(peers, before_authentication_hardly_anything_is_kept) {
+    // GIVEN an instance, and 64 clients without the secret
+    endpoint a;
+    endpoint b;
+    start_endpoint(a, "a");
+    start_endpoint(b, "b");
+    std::vector<raw_peer> clients;
+    for (int i = 0; i < 64; ++i) {
+        clients.push_back({connect_raw(b.network->address())});
+    }
+    const testing::memory_probe memory;
+    // WHEN each sends the head of a request and a megabyte of its body
+    for (const raw_peer& client : clients) {
+        std::string bytes = raw_peer::preface() + raw_peer::head(1, "/m");
+        for (int i = 0; i < 64; ++i) {
+            bytes += raw_peer::data(1, std::string(16000, 'x'), false);
+        }
+        (void)send(client.socket.value(), bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    }
+    // THEN their connections are closed, and little was kept
+    for (const raw_peer& client : clients) {
+        CHECK_TRUE(is_closed_by_peer(client.socket));
+    }
+    CHECK_TRUE(memory.growth() < std::size_t{16} * 1024 * 1024);
+    // AND other instances still connect
+    CHECK_TRUE(ping_until(a, b.self("b"), [&] { return b.count() > 0; }));
+}
+
+TEST(peers, the_connection_whose_incomplete_messages_take_most_is_closed) {
+    // GIVEN an instance that keeps 1 MB of incomplete messages and closes no connection for being
+    // idle, and two peers with the secret
+    endpoint target;
+    start_endpoint(target, {{{"b"}, "127.0.0.1:0", {"z1"}}, "secret", 30s, 1'000'000});
+    const raw_peer large = authenticate(target, "large");
+    const raw_peer small = authenticate(target, "small");
+    // WHEN one sends most of that in messages without end, and the other one exceeds the rest
+    for (const auto& [peer, frames] : {std::pair(&large, 50), std::pair(&small, 20)}) {
+        std::string bytes = raw_peer::head(5, "/m");
+        for (int i = 0; i < frames; ++i) {
+            bytes += raw_peer::data(5, std::string(16000, 'x'), false);
+        }
+        send_bytes(peer->socket, bytes);
+        std::this_thread::sleep_for(100ms);
+    }
+    // THEN the first connection is closed, and the other one stays
+    CHECK_TRUE(is_closed_by_peer(large.socket));
+    char byte = 0;
+    CHECK_TRUE(recv(small.socket.value(), &byte, 1, MSG_DONTWAIT | MSG_PEEK) != 0);
+}
+
 TEST(peers, connection_to_unresponsive_peer_is_replaced_and_others_are_unaffected) {
     // GIVEN a listener whose backlog accepts connections but that never reads or replies
     const auto listener = detail::listen_on("127.0.0.1:0");
