--- a/src/receive_budget/tests/receive_budget_tests.cpp
+++ b/src/receive_budget/tests/receive_budget_tests.cpp
@@ -38,7 +38,7 @@
     // WHEN its bounds are derived
     const receive_bounds bounds = derive_receive_bounds(8 * mb);
     // THEN a response of some kilobytes and a configuration of a megabyte still pass
-    CHECK_TRUE(bounds.response >= 64 * 1024);
+    CHECK_TRUE(bounds.response >= std::size_t{64} * 1024);
     CHECK_TRUE(bounds.store_response >= 2 * mb);
 }
 
