--- a/src/http_exchange/client_exchange.cpp
+++ b/src/http_exchange/client_exchange.cpp
@@ -21,6 +21,8 @@
 //! From this number of bytes on a body is received through a larger buffer.
 constexpr std::size_t long_body_bytes = std::size_t{16} * 1024;
 constexpr std::size_t long_body_buffer_bytes = std::size_t{16} * 1024;
+//! Time in which a reset shows that follows the end of a response: a network round trip.
+constexpr milliseconds reset_detection_time{50};
 //! Limit on reading a response that isn't needed, to reuse its connection.
 constexpr milliseconds rest_timeout{1000};
 //! The parser's own limit on bodies isn't used, as it counts bytes that were passed on. Boost 1.74
@@ -64,22 +66,29 @@
     http_request_message request;
     http::request_serializer<shared_body> serializer;
     bool is_done{false};
+    bool is_pending{true};
+    bool is_broken{false};  //!< the connection failed while the request was written
+    signal ended;
 
-    explicit writing(http_request_message message)
-        : request(std::move(message)), serializer(request) {}
+    writing(asio::io_context& loop, http_request_message message)
+        : request(std::move(message)), serializer(request), ended(loop) {}
 };
 
 client_exchange::client_exchange(connection_ptr with, http_request_message request,
                                  receive_ledger_ptr ledger, std::string peer)
-    : with_(std::move(with)), writing_(std::make_shared<writing>(std::move(request))),
+    : with_(std::move(with)), writing_(std::make_shared<writing>(with_->loop, std::move(request))),
       account_(std::move(ledger), std::move(peer), [this] { with_->close(); }) {}
 
 task<> client_exchange::send() {
     const auto write = [](connection_ptr to, std::shared_ptr<writing> state) -> task<> {
         error_code failed;
         co_await http::async_write(to->socket, state->serializer, redirect_error_to(failed));
+        state->is_pending = false;
         state->is_done = !failed;
+        // A write that this process cancelled says nothing of the connection.
+        state->is_broken = failed && failed != asio::error::operation_aborted;
         state->request.body().reset();
+        state->ended.notify();
     };
     if (shared_body::size(writing_->request.body()) < min_concurrent_write_bytes) {
         co_await write(with_, writing_);
@@ -98,12 +107,26 @@
     account_.report_excess(bound);
 }
 
+task<bool> client_exchange::has_ended_in_order() {
+    // A reset ends both directions, but its error goes only to the operation that meets it first.
+    // If that is the pending write, the read that follows sees an ordinary end. A server that reads
+    // on after its end in order leaves the write pending.
+    if (writing_->is_pending) {
+        co_await writing_->ended.wait(reset_detection_time);
+    }
+    co_return !writing_->is_broken;
+}
+
 //! Advances the parser by one step.
 task<error_code> client_exchange::step() {
     error_code failed = co_await read_step(*with_, *parser_);
     if (failed == http::error::need_buffer) {
         failed = {};
     }
+    if (!failed && is_complete() && !is_framed()) {
+        const bool is_in_order = co_await has_ended_in_order();
+        failed = is_in_order ? error_code() : asio::error::connection_reset;
+    }
     book(kept_elsewhere_);
     if (is_over_limit(failed)) {
         report_excess(max_response_head_bytes);
--- a/src/http_exchange/client_exchange.h
+++ b/src/http_exchange/client_exchange.h
@@ -89,6 +89,8 @@
     struct writing;
 
     task<error_code> step();
+    //! True unless the connection was reset before the end of a response without a length.
+    task<bool> has_ended_in_order();
 
     connection_ptr with_;
     std::shared_ptr<writing> writing_;  //!< shared with the coroutine that writes a long body
--- /dev/null
+++ b/src/http_exchange/tests/client_exchange_tests.cpp
@@ -0,0 +1,137 @@
+//! Exchanges with servers that respond before they have read a long request.
+#include "http_exchange/client_exchange.h"
+#include "http_exchange/tests/early_server.h"
+
+// clang-format off
+#include <CppUTest/TestHarness.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+// clang-format on
+
+using namespace cyclamenmount;
+using namespace cyclamenmount::testing;
+
+namespace {
+
+//! The server's thread allocates while a test runs, which the leak detector would count.
+const bool leak_detection_off = [] {
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    return true;
+}();
+
+constexpr milliseconds time_limit_ms{1000};
+
+//! A body that fits into the socket buffers, and one that doesn't.
+constexpr std::size_t short_body = 100;
+constexpr std::size_t long_body = std::size_t{12} * 1024 * 1024;
+
+struct exchange_case {
+    const char* name;
+    std::string head;  //!< status line, and headers after the id
+    std::string body;
+    std::function<void(const early_connection&)> end;
+    exchange_outcome outcome;
+};
+
+const std::string half = "half of a body";
+
+void reset_later(const early_connection& on) {
+    std::this_thread::sleep_for(50ms);
+    on.reset();
+}
+
+const exchange_case cases[] = {
+    {"no length, reset", "HTTP/1.1 200 OK\r\n\r\n", half, reset_later, exchange_outcome::broken},
+    {"no length, reset at once", "HTTP/1.1 200 OK\r\n\r\n", half,
+     [](const early_connection& on) { on.reset(); }, exchange_outcome::broken},
+    {"no length, an end in order and then a reset", "HTTP/1.1 200 OK\r\n\r\n", half,
+     [](const early_connection& on) {
+         on.finish();
+         on.reset();
+     },
+     exchange_outcome::broken},
+    {"no length, an end in order, the request is read later", "HTTP/1.1 200 OK\r\n\r\n", half,
+     [](const early_connection& on) {
+         on.finish();
+         std::this_thread::sleep_for(200ms);
+         (void)on.read_on();
+     },
+     exchange_outcome::completed},
+    {"no length, an end in order, the request is never read", "HTTP/1.1 200 OK\r\n\r\n", half,
+     [](const early_connection& on) {
+         on.finish();
+         std::this_thread::sleep_for(2 * time_limit_ms);
+     },
+     exchange_outcome::completed},
+    {"a whole body with a length, reset", "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n", half,
+     reset_later, exchange_outcome::completed},
+    {"a part of a body with a length, reset", "HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\n", half,
+     reset_later, exchange_outcome::broken},
+    {"chunks without the last one, reset", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "e\r\n" + half + "\r\n", reset_later, exchange_outcome::broken},
+};
+
+exchange_reply run_exchange(const std::string& address, std::size_t body_bytes) {
+    asio::io_context loop;
+    exchange_reply reply;
+    asio::co_spawn(
+        loop,
+        [](asio::io_context& on, std::string to, std::size_t bytes,
+           exchange_reply& result) -> task<> {
+            const auto opened = co_await open_connection(on, to, time_limit_ms);
+            auto request = make_json_request(http::verb::post, "/", "h", std::string(bytes, 'b'));
+            result = co_await exchange(opened.value(), std::move(request),
+                                       {time_limit_ms, 1'000'000}, nullptr);
+            opened.value()->close();
+        }(loop, address, body_bytes, reply),
+        asio::detached);
+    loop.run();
+    return reply;
+}
+
+}  // namespace
+
+TEST_GROUP(client_exchange){};
+
+// Guards against a response that was reset and counted as whole: the pending write of the request
+// took the socket's error, and the read saw an ordinary end.
+TEST(client_exchange, a_response_that_is_reset_is_not_complete) {
+    for (const exchange_case& one : cases) {
+        // GIVEN a server that responds before it has read the request, and ends the connection
+        early_server server([&](const std::string& /*head*/, const early_connection& on) {
+            on.send(one.head + one.body);
+            one.end(on);
+        });
+        // WHEN a long request is sent
+        const instant sent_at = boot_clock::now();
+        const exchange_reply reply = run_exchange(server.address(), long_body);
+        // THEN it is complete only if the connection ended in order, or its length says so
+        STRCMP_EQUAL_TEXT(std::string(enum_name(one.outcome)).c_str(),
+                          std::string(enum_name(reply.outcome)).c_str(), one.name);
+        if (one.outcome == exchange_outcome::completed) {
+            STRCMP_EQUAL_TEXT(half.c_str(), reply.response.body().c_str(), one.name);
+            // AND it isn't held back until the request is read
+            CHECK_TEXT(boot_clock::now() - sent_at < 200ms, one.name);
+        }
+    }
+}
+
+TEST(client_exchange, the_same_holds_for_short_requests) {
+    for (const bool is_reset : {true, false}) {
+        // GIVEN a server that ends a response without a length
+        early_server server([&](const std::string& /*head*/, const early_connection& on) {
+            on.send("HTTP/1.1 200 OK\r\n\r\n" + half);
+            std::this_thread::sleep_for(50ms);
+            if (is_reset) {
+                on.reset();
+            } else {
+                on.finish();
+                (void)on.read_on();
+            }
+        });
+        // WHEN a short request is sent
+        const exchange_reply reply = run_exchange(server.address(), short_body);
+        // THEN the response is complete unless it was reset
+        CHECK_TRUE(reply.outcome ==
+                   (is_reset ? exchange_outcome::broken : exchange_outcome::completed));
+    }
+}
