--- a/src/upstreams/tests/upstream_client_tests.cpp
+++ b/src/upstreams/tests/upstream_client_tests.cpp
@@ -198,6 +198,18 @@
              s.send(answer_head(r, 200, "Content-Length: 100\r\n") + "{");
          },
          died, f::connection_lost, 0},
+        {"closed in a body without a length", stage,
+         [](const request& r, const reply& s) {
+             s.send(answer_head(r, 200, "") + echo_body(r).dump().substr(0, 20));
+         },
+         failed, f::malformed, 0},
+        {"reset in a body without a length", stage,
+         [](const request& r, const reply& s) {
+             s.send(answer_head(r, 200, "") + echo_body(r).dump().substr(0, 20));
+             std::this_thread::sleep_for(50ms);
+             s.reset();
+         },
+         died, f::connection_lost, 0},
         {"closed without a response", stage, [](const request&, const reply&) {}, died,
          f::connection_lost, 0},
         {"reset", stage, [](const request&, const reply& s) { s.reset(); }, died,
