--- a/src/http_exchange/client_exchange.h
+++ b/src/http_exchange/client_exchange.h
@@ -107,7 +107,6 @@
 //! the pool if it can carry another exchange.
 void release_after_rest(connection_pool& pool, client_exchange_ptr exchange, std::size_t max_bytes);
 
-//! Result of an exchange.
 enum class exchange_outcome {
     completed,  //!< the complete response was received
     not_sent,   //!< no part of the request was sent
@@ -133,7 +132,8 @@
     return "unknown";
 }
 
-struct exchange_reply {
+//! Result of an exchange and its response, whose moves never throw, but aren't noexcept.
+struct exchange_reply {  // NOLINT(bugprone-exception-escape)
     exchange_outcome outcome{exchange_outcome::broken};
     http::response<http::string_body> response;  //!< set only if the exchange completed
 };
--- a/platform/stage_driver.cpp
+++ b/src/stage_calls/stage_driver.cpp
@@ -1,22 +1,16 @@
-#include "platform/stage_driver.h"
+#include "stage_calls/stage_driver.h"
 
-#include "codec/json_split.h"
-#include "platform/names.h"
-#include "platform/translate.h"
 #include "types/overloaded.h"
+#include "upstream_directives/directive_log.h"
 
 #include <algorithm>
 #include <functional>
 #include <span>
 
-#include <nlohmann/json.hpp>
-
-namespace cyclamenmount::platform {
+namespace cyclamenmount {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr milliseconds connect_timeout{400};
 //! Timeout of a call to a stage upstream; long before, its pieces are requested elsewhere.
 constexpr milliseconds call_timeout{5000};
@@ -41,59 +35,6 @@
     return "peer_heard";
 }
 
-http_request_message make_stage_run_request(const make_call& call) {
-    json items = json::array();
-    for (const call_item& item : call.items) {
-        json one = {{"id", item.request},
-                    {"stage", item.stage},
-                    {"segment", item.piece},
-                    {"remaining_ms", item.time_left.count()}};
-        if (item.inputs) {
-            one["inputs"] = *item.inputs;
-        } else {
-            one["key"] = item.key;
-        }
-        items.push_back(std::move(one));
-    }
-    http_request_message request =
-        make_json_request(http::verb::post, names::stage_run_path, call.address,
-                          json{{"items", std::move(items)}}.dump());
-    request.set(names::expected_upstream, call.upstream.value);
-    return request;
-}
-
-piece_status decode_piece_status(const std::string& reason) {
-    if (reason == "late") {
-        return piece_status::deadline_exceeded;
-    }
-    if (reason == "gone") {
-        return piece_status::input_lost;
-    }
-    return reason == "room" ? piece_status::no_memory : piece_status::failed;
-}
-
-std::optional<std::vector<piece_outcome>> decode_piece_outcomes(const std::string& body) {
-    const auto response = parse_bounded_json(body);
-    if (!response) {
-        return std::nullopt;
-    }
-    try {
-        std::vector<piece_outcome> outcomes;
-        for (const json& item : response->at("items")) {
-            piece_outcome outcome;
-            if (item.contains("cache_handle")) {
-                outcome = {piece_status::made, item["cache_handle"].get<std::string>()};
-            } else {
-                outcome.status = decode_piece_status(item.value("reason", ""));
-            }
-            outcomes.push_back(std::move(outcome));
-        }
-        return outcomes;
-    } catch (const json::exception&) {
-        return std::nullopt;
-    }
-}
-
 //! Keys of the requests in a call, without duplicates.
 std::vector<std::string> crash_keys(const make_call& call) {
     std::vector<std::string> keys;
@@ -118,9 +59,9 @@
 }  // namespace
 
 stage_driver::stage_driver(asio::io_context& loop, member self, decision_log& log,
-                           receive_ledger_ptr ledger, send_function send)
-    : loop_(loop), log_(log), ledger_(std::move(ledger)), send_(std::move(send)),
-      connections_(loop) {
+                           receive_ledger_ptr ledger, stage_protocol protocol, send_function send)
+    : loop_(loop), log_(log), ledger_(std::move(ledger)), protocol_(std::move(protocol)),
+      send_(std::move(send)), connections_(loop) {
     agent_.self = std::move(self);
     asio::co_spawn(loop_, tick(), asio::detached);
 }
@@ -163,22 +104,23 @@
 }
 
 void stage_driver::execute(const packing_agent_effect& wanted) {
-    std::visit(
-        overloaded{
-            [&](const call_stage& effect) { asio::co_spawn(loop_, call(effect), asio::detached); },
-            [&](const release_results& effect) { free_results(effect); },
-            [&](const job_ended& effect) {
-                const auto found = pending_.find(effect.number);
-                if (found != pending_.end()) {
-                    const done_function done = std::move(found->second);
-                    pending_.erase(found);
-                    done(effect.reply);
-                }
-            },
-            [&](const send_to_peer& effect) { send_(effect.to, effect.message); },
-            [&](const peer_status_changed& effect) { log_peer_status(effect); },
-        },
-        wanted);
+    std::visit(overloaded{
+                   [&](const call_stage& started) {
+                       asio::co_spawn(loop_, call(started), asio::detached);
+                   },
+                   [&](const release_results& released) { free_results(released); },
+                   [&](const job_ended& ended) {
+                       const auto found = pending_.find(ended.number);
+                       if (found != pending_.end()) {
+                           const done_function done = std::move(found->second);
+                           pending_.erase(found);
+                           done(ended.reply);
+                       }
+                   },
+                   [&](const send_to_peer& sent) { send_(sent.to, sent.message); },
+                   [&](const peer_status_changed& changed) { log_peer_status(changed); },
+               },
+               wanted);
 }
 
 void stage_driver::log_peer_status(const peer_status_changed& changed) {
@@ -205,7 +147,7 @@
         return !used->is_reused || hash_of(response.body()) != used->last_result_hash;
     };
     exchange_reply reply =
-        co_await exchange(used, make_stage_run_request(call),
+        co_await exchange(used, protocol_.make_run_request(call),
                           {call_timeout, ledger_->bounds().response}, ledger_, &is_new);
     const int status = reply.outcome == exchange_outcome::completed
                            ? static_cast<int>(reply.response.result_int())
@@ -219,12 +161,12 @@
                    .add("status", status)
                    .add("took_ms", boot_clock::now() - started));
     if (reply.outcome == exchange_outcome::completed) {
-        const response_head head = decode_head(reply.response);
-        log_directives(log_, call.upstream, head.directives);
-        handle(stage_directives_received{wanted.pool, {call.upstream, head.directives, started}});
+        const upstream_directives directives = protocol_.decode_directives(reply.response);
+        log_directives(log_, call.upstream, directives);
+        handle(stage_directives_received{wanted.pool, {call.upstream, directives, started}});
     }
     const auto outcomes =
-        status == 200 ? decode_piece_outcomes(reply.response.body()) : std::nullopt;
+        status == 200 ? protocol_.decode_outcomes(reply.response.body()) : std::nullopt;
     if (outcomes && has_results(*outcomes)) {
         used->last_result_hash = hash_of(reply.response.body());
         connections_.release(used);
@@ -283,11 +225,9 @@
         co_return;  // unreleased results expire at the upstream
     }
     const connection_ptr& used = found.value();
-    json body;
-    body["cache_handles"] = std::move(results);
-    const exchange_reply reply = co_await exchange(
-        used, make_json_request(http::verb::post, names::stage_free_path, address, body.dump()),
-        {release_timeout, ledger_->bounds().response}, ledger_);
+    const exchange_reply reply =
+        co_await exchange(used, protocol_.make_release_request(address, std::move(results)),
+                          {release_timeout, ledger_->bounds().response}, ledger_);
     if (reply.outcome == exchange_outcome::completed) {
         connections_.release(used);
     }
@@ -306,4 +246,4 @@
     }
 }
 
-}  // namespace cyclamenmount::platform
+}  // namespace cyclamenmount
--- a/platform/stage_driver.h
+++ b/src/stage_calls/stage_driver.h
@@ -5,11 +5,12 @@
 #include "decision_log/decision_log.h"
 #include "http_exchange/client_exchange.h"
 #include "packing/packing_agent.h"
+#include "stage_calls/stage_protocol.h"
 
 #include <functional>
 #include <span>
 
-namespace cyclamenmount::platform {
+namespace cyclamenmount {
 
 //! Used on the traffic thread only.
 class stage_driver {
@@ -27,7 +28,7 @@
     };
 
     stage_driver(asio::io_context& loop, member self, decision_log& log, receive_ledger_ptr ledger,
-                 send_function send);
+                 stage_protocol protocol, send_function send);
 
     void set_crash_handlers(crash_handlers handlers) {
         crash_handlers_ = std::move(handlers);
@@ -62,6 +63,7 @@
     asio::io_context& loop_;
     decision_log& log_;
     receive_ledger_ptr ledger_;
+    stage_protocol protocol_;
     send_function send_;
     packing_agent agent_;
     connection_pool connections_;
@@ -70,4 +72,4 @@
     std::uint64_t last_job_number_{0};
 };
 
-}  // namespace cyclamenmount::platform
+}  // namespace cyclamenmount
