--- a/src/peers/http2_session.cpp
+++ b/src/peers/http2_session.cpp
@@ -14,7 +14,7 @@
 
 constexpr std::size_t max_body_bytes = max_message_bytes + 64;  // a batch with one largest message
 constexpr std::size_t max_kept_bytes = std::size_t{8} << 20U;   // all incomplete exchanges together
-constexpr std::size_t max_handshake_bytes = std::size_t{4} << 10U;  // the same before messages
+constexpr std::size_t max_handshake_bytes = std::size_t{4} << 10U;  // the same during the handshake
 constexpr std::size_t output_low_water_bytes = std::size_t{64} << 10U;
 constexpr std::size_t read_buffer_bytes = std::size_t{16} << 10U;
 constexpr int max_reads_per_receive = 64;  // one busy connection must not delay the others
