--- a/src/http_exchange/async.h
+++ b/src/http_exchange/async.h
@@ -8,7 +8,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/src/http_exchange/client_exchange.cpp
+++ b/src/http_exchange/client_exchange.cpp
@@ -1,5 +1,7 @@
 #include "http_exchange/client_exchange.h"
 
+#include "http_exchange/background.h"
+
 #include <array>
 #include <charconv>
 #include <limits>
@@ -94,7 +96,7 @@
         co_await write(with_, writing_);
         co_return;
     }
-    asio::co_spawn(with_->loop, write(with_, writing_), asio::detached);
+    spawn(with_->loop, "write of a request", write(with_, writing_));
 }
 
 void client_exchange::book(std::size_t kept_elsewhere) {
@@ -221,7 +223,7 @@
         }
     };
     const connection_ptr used = exchange->used();
-    asio::co_spawn(used->loop, read(pool, std::move(exchange), max_bytes), asio::detached);
+    spawn(used->loop, "read of an unneeded response", read(pool, std::move(exchange), max_bytes));
 }
 
 task<exchange_reply> exchange(connection_ptr with, http_request_message request,
--- a/src/http_exchange/tests/client_exchange_tests.cpp
+++ b/src/http_exchange/tests/client_exchange_tests.cpp
@@ -2,6 +2,8 @@
 #include "http_exchange/client_exchange.h"
 #include "http_exchange/tests/early_server.h"
 
+#include <boost/asio/detached.hpp>
+
 // clang-format off
 #include <CppUTest/TestHarness.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
--- a/src/peers/peer_network.cpp
+++ b/src/peers/peer_network.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds poll_timeout{100};
 constexpr std::size_t max_incoming_connections = 256;
 constexpr std::size_t max_posted_messages = 4096;
+//! Pause after an unexpected exception, so that one that always comes doesn't use up the processor.
+constexpr milliseconds failure_pause{100};
 
 //! A message or read passed from another thread to the network thread.
 struct posted_item {
@@ -37,6 +39,18 @@
     return static_cast<short>(peer.session->wants_write() ? POLLIN | POLLOUT : POLLIN);
 }
 
+//! Calls `work`. An exception is logged with what it concerns; returns false then, or if `work`
+//! does.
+template <typename Work>
+bool succeeds(const std::string& subject, Work work) {
+    try {
+        return work();
+    } catch (const std::exception& thrown) {
+        LOG(ERROR) << "Peers: " << subject << ": unexpected exception: " << thrown.what() << ".";
+        return false;
+    }
+}
+
 }  // namespace
 
 struct peer_network::impl {
@@ -182,13 +196,21 @@
         std::size_t next = 2;
         for (auto* peer : polled_outgoing) {
             const short events = watched[next++].revents;
-            if (events != 0) {
-                handle_events(*peer, events, context(), now);
+            const bool is_handled = events == 0 || succeeds("connection to " + peer->address, [&] {
+                                        handle_events(*peer, events, context(), now);
+                                        return true;
+                                    });
+            if (!is_handled) {
+                detail::drop_connection(*peer, now);
             }
         }
         for (const auto& it : polled_incoming) {
             const short events = watched[next++].revents;
-            if (events != 0 && !handle_events(*it, events, context(), handlers, now)) {
+            const bool is_healthy =
+                events == 0 || succeeds("connection of " + it->transcript.client.value, [&] {
+                    return handle_events(*it, events, context(), handlers, now);
+                });
+            if (!is_healthy) {
                 incoming.erase(it);
             }
         }
@@ -198,14 +220,27 @@
         }
     }
 
+    bool is_stopping() {
+        const std::lock_guard lock(mutex);
+        return stopping;
+    }
+
+    //! One turn of the loop; false if the network is stopping.
+    bool run_once() {
+        const instant now = boot_clock::now();
+        if (!take_posted(now)) {
+            return false;
+        }
+        advance_all(now);
+        poll_once();
+        return true;
+    }
+
     void run() {
-        while (true) {
-            const instant now = boot_clock::now();
-            if (!take_posted(now)) {
-                break;
+        while (!is_stopping()) {
+            if (!succeeds("network thread", [this] { return run_once(); })) {
+                std::this_thread::sleep_for(failure_pause);
             }
-            advance_all(now);
-            poll_once();
         }
         fail_all_reads();
     }
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -290,6 +290,28 @@
 }
 
 // Guards against clients without the secret that take the memory of the process.
+// Guards against a process that ends because the handler of one message throws.
+TEST(peers, an_exception_of_a_handler_closes_only_its_connection) {
+    // GIVEN a network whose handler throws at the first message
+    endpoint from;
+    start_endpoint(from, "from");
+    std::atomic<int> handled{0};
+    peer_handlers handlers;
+    handlers.on_message = [&](const instance_id& /*from*/, peer_message /*message*/) {
+        if (++handled == 1) {
+            throw std::runtime_error("unexpected field");
+        }
+    };
+    handlers.on_read = [](std::string_view query) { return std::string(query); };
+    auto started =
+        peer_network::start({{{"to"}, "127.0.0.1:0", {"z1"}}, "secret", 300ms}, handlers);
+    CHECK_TRUE(started.has_value());
+    const member to{{"to"}, started.value()->address(), {"z1"}};
+    // WHEN messages arrive
+    // THEN those after the first are handled, too
+    CHECK_TRUE(ping_until(from, to, [&] { return handled >= 3; }));
+}
+
 TEST(peers, before_authentication_hardly_anything_is_kept) {
     // GIVEN an instance, and 64 clients without the secret
     endpoint a;
--- a/src/stage_calls/stage_driver.cpp
+++ b/src/stage_calls/stage_driver.cpp
@@ -1,5 +1,6 @@
 #include "stage_calls/stage_driver.h"
 
+#include "http_exchange/background.h"
 #include "types/overloaded.h"
 #include "upstream_directives/directive_log.h"
 
@@ -63,7 +64,7 @@
     : loop_(loop), log_(log), ledger_(std::move(ledger)), protocol_(std::move(protocol)),
       send_(std::move(send)), connections_(loop) {
     agent_.self = std::move(self);
-    asio::co_spawn(loop_, tick(), asio::detached);
+    spawn_service(loop_, "timer of the packing agent", [this] { return tick(); });
 }
 
 std::uint64_t stage_driver::submit(const pool_name& pool, stage_job job, done_function done) {
@@ -104,23 +105,22 @@
 }
 
 void stage_driver::execute(const packing_agent_effect& wanted) {
-    std::visit(overloaded{
-                   [&](const call_stage& started) {
-                       asio::co_spawn(loop_, call(started), asio::detached);
-                   },
-                   [&](const release_results& released) { free_results(released); },
-                   [&](const job_ended& ended) {
-                       const auto found = pending_.find(ended.number);
-                       if (found != pending_.end()) {
-                           const done_function done = std::move(found->second);
-                           pending_.erase(found);
-                           done(ended.reply);
-                       }
-                   },
-                   [&](const send_to_peer& sent) { send_(sent.to, sent.message); },
-                   [&](const peer_status_changed& changed) { log_peer_status(changed); },
-               },
-               wanted);
+    std::visit(
+        overloaded{
+            [&](const call_stage& started) { spawn(loop_, "call of a stage", call(started)); },
+            [&](const release_results& released) { free_results(released); },
+            [&](const job_ended& ended) {
+                const auto found = pending_.find(ended.number);
+                if (found != pending_.end()) {
+                    const done_function done = std::move(found->second);
+                    pending_.erase(found);
+                    done(ended.reply);
+                }
+            },
+            [&](const send_to_peer& sent) { send_(sent.to, sent.message); },
+            [&](const peer_status_changed& changed) { log_peer_status(changed); },
+        },
+        wanted);
 }
 
 void stage_driver::log_peer_status(const peer_status_changed& changed) {
@@ -215,7 +215,7 @@
         by_upstream[result.substr(0, result.find('/'))].push_back(result);
     }
     for (auto& [address, results] : by_upstream) {
-        asio::co_spawn(loop_, free_results_at(address, std::move(results)), asio::detached);
+        spawn(loop_, "release of stage results", free_results_at(address, std::move(results)));
     }
 }
 
