--- a/src/http_exchange/connection.cpp
+++ b/src/http_exchange/connection.cpp
@@ -53,17 +53,24 @@
     buffer.shrink_to_fit();
 }
 
-time_limit::time_limit(const connection_ptr& limited, milliseconds limit)
+time_limit::time_limit(const connection_ptr& limited, milliseconds limit, expiry at_end)
     : limited_(std::make_shared<connection_ptr>(limited)),
       timer_(limited->loop, std::max(limit, milliseconds(0))) {
     // The handler may run without an error after the cancellation, if the timer has expired
     // already.
-    timer_.async_wait([target = std::weak_ptr(limited_)](const error_code& cancelled) {
+    timer_.async_wait([target = std::weak_ptr(limited_), at_end](const error_code& cancelled) {
         const auto expired = target.lock();
-        if (!cancelled && expired) {
-            (*expired)->timed_out = true;
-            (*expired)->close();
+        if (cancelled || !expired) {
+            return;
         }
+        connection& ended = **expired;
+        ended.timed_out = true;
+        if (at_end == expiry::close) {
+            ended.close();
+            return;
+        }
+        error_code ignored;  // the connection may be closed already
+        ended.socket.cancel(ignored);
     });
 }
 
--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -47,15 +47,24 @@
     bool is_reused{false};            //!< carried another exchange before
     std::size_t last_result_hash{0};  //!< hash of the last stage response; see `stage_driver`
     bool is_closed{false};
-    bool timed_out{false};  //!< closed by a `time_limit`
+    bool timed_out{false};  //!< a `time_limit` has passed
+    //! The last bytes that were sent are a response, or its begin, after which the connection ends.
+    bool ends_with_response{false};
 };
 
 using connection_ptr = std::shared_ptr<connection>;
 
-//! Closes a connection when the limit has passed; destroying this object cancels the limit.
+//! What a `time_limit` does to its connection.
+enum class expiry {
+    close,  //!< closes it
+    cancel  //!< cancels its pending operation; the connection can still send
+};
+
+//! Ends the use of a connection when the limit has passed; destroying this object cancels the
+//! limit.
 class time_limit {
 public:
-    time_limit(const connection_ptr& limited, milliseconds limit);
+    time_limit(const connection_ptr& limited, milliseconds limit, expiry at_end = expiry::close);
     ~time_limit();
     time_limit(const time_limit&) = delete;
     time_limit& operator=(const time_limit&) = delete;
--- a/src/http_exchange/server_exchange.cpp
+++ b/src/http_exchange/server_exchange.cpp
@@ -16,6 +16,9 @@
 using request_parser = http::request_parser<http::string_body>;
 
 http::status status_for(const error_code& failed, bool is_header_done) {
+    if (failed == asio::error::timed_out) {
+        return http::status::request_timeout;
+    }
     if (failed == http::error::header_limit ||
         (failed == http::error::buffer_overflow && !is_header_done)) {
         return http::status::request_header_fields_too_large;
@@ -26,7 +29,7 @@
     return http::status::bad_request;
 }
 
-task<> refuse(connection_ptr caller, http::status status, milliseconds retry_after) {
+task<request_read> refuse(connection_ptr caller, http::status status, milliseconds retry_after) {
     http::response<http::string_body> response(status, 11);
     response.keep_alive(false);
     if (status == http::status::service_unavailable) {
@@ -36,9 +39,11 @@
         response.set(http::field::retry_after, seconds);
     }
     response.prepare_payload();
+    caller->ends_with_response = true;
     const time_limit limited(caller, refusal_timeout);
     error_code ignored;  // the connection is closed in any case
     co_await http::async_write(caller->socket, response, redirect_error_to(ignored));
+    co_return request_read{{}, status};
 }
 
 //! Advances the parser until it has the headers, or the whole request.
@@ -47,6 +52,9 @@
     error_code failed;
     while (!failed && !(to_end ? parser.is_done() : parser.is_header_done())) {
         failed = co_await read_step(from, parser);
+        if (from.timed_out) {
+            failed = asio::error::timed_out;
+        }
         account.set_kept(from.buffer.capacity() + parser.get().body().size() +
                          memory_of(parser.get()));
         if (account.is_ended()) {
@@ -60,13 +68,13 @@
                             receive_account& account) {
     error_code failed;
     {
-        const time_limit limited(from, limits.header_time);
+        const time_limit limited(from, limits.header_time, expiry::cancel);
         failed = co_await advance(*from, parser, false, account);
     }
     if (failed) {
         co_return failed;
     }
-    const time_limit limited(from, limits.body_time);
+    const time_limit limited(from, limits.body_time, expiry::cancel);
     if (!parser.get()[http::field::expect].empty()) {
         co_await asio::async_write(from->socket, asio::buffer(continue_line),
                                    redirect_error_to(failed));
@@ -79,8 +87,8 @@
 
 }  // namespace
 
-task<std::optional<received_request>> read_request(connection_ptr from, request_limits limits,
-                                                   receive_account& account) {
+task<request_read> read_request(connection_ptr from, request_limits limits,
+                                receive_account& account) {
     request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
@@ -91,23 +99,23 @@
     const error_code failed = co_await read_parts(from, parser, limits, account);
     account.set_on_end([] {});
     if (from->is_closed) {
-        // A time limit may close the connection in the turn of the loop in which a read succeeds.
-        co_return std::nullopt;
+        co_return request_read{};
     }
     if (account.is_ended()) {
-        co_await refuse(from, http::status::service_unavailable, limits.retry_after);
-        co_return std::nullopt;
+        co_return co_await refuse(from, http::status::service_unavailable, limits.retry_after);
     }
     if (!failed) {
-        co_return parser.release();
+        co_return request_read{parser.release(), {}};
     }
-    const bool connection_ended =
-        failed == http::error::end_of_stream || failed == http::error::partial_message ||
-        failed.category() != http::make_error_code(http::error{}).category();
-    if (!connection_ended) {
-        co_await refuse(from, status_for(failed, parser.is_header_done()), limits.retry_after);
+    const bool is_too_slow = failed == asio::error::timed_out && parser.got_some();
+    const bool is_invalid = failed.category() == http::make_error_code(http::error{}).category() &&
+                            failed != http::error::end_of_stream &&
+                            failed != http::error::partial_message;
+    if (is_too_slow || is_invalid) {
+        co_return co_await refuse(from, status_for(failed, parser.is_header_done()),
+                                  limits.retry_after);
     }
-    co_return std::nullopt;
+    co_return request_read{};
 }
 
 }  // namespace cyclamenmount
--- a/src/http_exchange/server_exchange.h
+++ b/src/http_exchange/server_exchange.h
@@ -20,10 +20,17 @@
 
 using received_request = http::request<http::string_body>;
 
-//! Reads a request and books what it keeps. None if the connection ended or a limit of time passed;
-//! an invalid request, and one that exceeds a limit, is refused first. The framing of the body is
-//! bounded by the maximum size of the connection's buffer.
-task<std::optional<received_request>> read_request(connection_ptr from, request_limits limits,
-                                                   receive_account& account);
+//! A request, or why there is none; neither is set if the connection ended before a request.
+struct request_read {
+    std::optional<received_request> request;
+    //! Status with which a request was refused: it is invalid, exceeds a limit or arrives too
+    //! slowly. The connection is then to be closed in order.
+    std::optional<http::status> refused;
+};
+
+//! Reads a request and books what it keeps. The framing of the body is bounded by the maximum size
+//! of the connection's buffer.
+task<request_read> read_request(connection_ptr from, request_limits limits,
+                                receive_account& account);
 
 }  // namespace cyclamenmount
