--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -1,11 +1,19 @@
 # All libraries come from Debian packages, which tools/setup installs.
 find_package(PkgConfig REQUIRED)
 find_package(Threads REQUIRED)
+# Archives are preferred for what the daemons link: the dynamic linker takes several milliseconds to
+# load them as shared libraries, in which a signal still ends a process.
+set(shared_library_suffixes ${CMAKE_FIND_LIBRARY_SUFFIXES})
+set(CMAKE_FIND_LIBRARY_SUFFIXES .a .so)
+set(OPENSSL_USE_STATIC_LIBS TRUE)
 find_package(OpenSSL REQUIRED)
 pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
 pkg_check_modules(POPT REQUIRED IMPORTED_TARGET popt)
+pkg_check_modules(GFLAGS REQUIRED IMPORTED_TARGET gflags)
 pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+target_link_libraries(PkgConfig::GLOG INTERFACE PkgConfig::GFLAGS)
+set(CMAKE_FIND_LIBRARY_SUFFIXES ${shared_library_suffixes})
 if(NOT CYCLAMENMOUNT_PLATFORM_ONLY)
   find_package(CURL REQUIRED)
   pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
--- a/src/app/daemon_main.cpp
+++ b/src/app/daemon_main.cpp
@@ -1,7 +1,7 @@
 //! `cyclamenmountd`: the daemon that every entry instance runs.
 #include "app/daemon.h"
+#include "process_start/signals.h"
 
-#include <csignal>
 #include <iostream>
 #include <memory>
 
@@ -40,34 +40,26 @@
     return exit_code::invalid_settings;
 }
 
-//! Blocks the signals that the main thread waits for, before other threads start and inherit the
-//! mask; returns these signals.
-sigset_t block_signals() {
-    sigset_t awaited;
-    sigemptyset(&awaited);
-    sigaddset(&awaited, SIGTERM);
-    sigaddset(&awaited, SIGINT);
-    sigaddset(&awaited, SIGUSR1);
-    pthread_sigmask(SIG_BLOCK, &awaited, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return awaited;
-}
-
-//! Waits for signals: SIGUSR1 writes the state dump to standard error, SIGTERM and SIGINT return.
+//! Waits for signals: SIGUSR1 writes the state dump to standard error, SIGHUP has no effect,
+//! SIGTERM and SIGINT return.
 void wait_for_stop(const sigset_t& awaited, const daemon_process& running) {
     while (true) {
         int received = 0;
         if (sigwait(&awaited, &received) != 0) {
             continue;
         }
-        if (received != SIGUSR1) {
+        if (received == SIGTERM || received == SIGINT) {
             return;
         }
+        if (received == SIGHUP) {
+            LOG(INFO) << "daemon: SIGHUP has no effect, as settings are read at the start only.";
+            continue;
+        }
         std::cerr << "dump: " << running.dump() << std::endl;
     }
 }
 
-exit_code run(const daemon_settings& settings) {
+exit_code run(const daemon_settings& settings, const sigset_t& signals) {
     const auto peer_secret = load_secret(settings.peer_secret_file);
     const auto operator_secret = load_secret(settings.operator_secret_file);
     findings found;
@@ -79,17 +71,16 @@
     if (!found.empty()) {
         return print_findings(found);
     }
-    const auto awaited = block_signals();
     auto started = daemon_process::start(settings, {peer_secret.value(), operator_secret.value()});
     if (started.has_error()) {
         LOG(ERROR) << "daemon: " << started.error().message << '.';
         return exit_code::failed;
     }
-    wait_for_stop(awaited, *started.value());
+    wait_for_stop(signals, *started.value());
     return started.value()->drain() ? exit_code::done : exit_code::failed;
 }
 
-exit_code read_and_run(const daemon_options& options) {
+exit_code read_and_run(const daemon_options& options, const sigset_t& signals) {
     if (options.settings_file == nullptr) {
         std::cerr << "cyclamenmountd: --settings FILE is required\n";
         return exit_code::usage;
@@ -102,12 +93,13 @@
         std::cout << options.settings_file << ": no faults\n";
         return exit_code::done;
     }
-    return run(settings.value());
+    return run(settings.value(), signals);
 }
 
 }  // namespace
 
 int main(int argc, const char** argv) {
+    const sigset_t signals = block_signals({SIGTERM, SIGINT, SIGHUP, SIGUSR1});
     daemon_options options;
     const poptOption table[] = {
         {"settings", 's', POPT_ARG_STRING, &options.settings_file, 0, "INI file with the settings",
@@ -132,5 +124,5 @@
     google::InitGoogleLogging(argv[0]);
     curl_global_init(CURL_GLOBAL_DEFAULT);
     mg_init_library(0);
-    return static_cast<int>(read_and_run(options));
+    return static_cast<int>(read_and_run(options, signals));
 }
--- a/standins/object_api/main.cpp
+++ b/standins/object_api/main.cpp
@@ -37,11 +37,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    const sigset_t signals = cyclamenmount::standins::block_stop_signals();
     options parsed;
     if (!parse_options(argc, const_cast<const char**>(argv), parsed)) {
         return 2;
     }
-    const sigset_t signals = cyclamenmount::standins::block_stop_signals();
     auto api = cyclamenmount::standins::object_api::start({parsed.listen, parsed.threads});
     if (!api) {
         std::fprintf(stderr, "%s\n", api.error().message.c_str());
--- a/standins/upstream/main.cpp
+++ b/standins/upstream/main.cpp
@@ -78,11 +78,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    const sigset_t signals = standins::block_stop_signals();
     options parsed;
     if (!parse_options(argc, const_cast<const char**>(argv), parsed)) {
         return 2;
     }
-    const sigset_t signals = standins::block_stop_signals();
     std::vector<std::unique_ptr<standins::upstream>> upstreams;
     for (const std::string& text : parsed.upstreams) {
         auto started = start_upstream(text);
