--- a/src/app/daemon_main.cpp
+++ b/src/app/daemon_main.cpp
@@ -1,6 +1,6 @@
 //! `cyclamenmountd`: the daemon that every entry instance runs.
 #include "app/daemon.h"
-#include "process_start/signals.h"
+#include "process_start/retried_start.h"
 
 #include <iostream>
 #include <memory>
@@ -33,13 +33,28 @@
     int version{0};
 };
 
-exit_code print_findings(const findings& found) {
+std::string text_of(const findings& found) {
+    std::string text;
     for (const auto& one : found) {
-        std::cerr << one.file << ':' << one.line << ": " << one.message << '\n';
+        text += one.file + ':' + std::to_string(one.line) + ": " + one.message + '\n';
     }
+    return text;
+}
+
+exit_code print_findings(const findings& found) {
+    std::cerr << text_of(found);
     return exit_code::invalid_settings;
 }
 
+exit_code check_settings(const char* file) {
+    const auto settings = load_settings(file);
+    if (settings.has_error()) {
+        return print_findings(settings.error());
+    }
+    std::cout << file << ": no faults\n";
+    return exit_code::done;
+}
+
 //! Waits for signals: SIGUSR1 writes the state dump to standard error, SIGHUP has no effect,
 //! SIGTERM and SIGINT return.
 void wait_for_stop(const sigset_t& awaited, const daemon_process& running) {
@@ -59,6 +74,8 @@
     }
 }
 
+//! Starts the daemon; a start that fails, for example as a predecessor still holds a port, is
+//! repeated for a while.
 exit_code run(const daemon_settings& settings, const sigset_t& signals) {
     const auto peer_secret = load_secret(settings.peer_secret_file);
     const auto operator_secret = load_secret(settings.operator_secret_file);
@@ -71,29 +88,52 @@
     if (!found.empty()) {
         return print_findings(found);
     }
-    auto started = daemon_process::start(settings, {peer_secret.value(), operator_secret.value()});
-    if (started.has_error()) {
-        LOG(ERROR) << "daemon: " << started.error().message << '.';
-        return exit_code::failed;
+    std::unique_ptr<daemon_process> running;
+    const auto start = [&]() -> start_attempt {
+        auto started =
+            daemon_process::start(settings, {peer_secret.value(), operator_secret.value()});
+        if (started.has_error()) {
+            const bool may_pass = started.error().kind == error_kind::system;
+            return {false, may_pass, started.error().message};
+        }
+        running = std::move(started.value());
+        return {true, false, ""};
+    };
+    const start_outcome outcome = retry_start(signals, {}, start, [](const std::string& failure) {
+        LOG(ERROR) << "daemon: " << failure << '.';
+    });
+    if (outcome != start_outcome::done) {
+        return outcome == start_outcome::stopped ? exit_code::done : exit_code::failed;
     }
-    wait_for_stop(signals, *started.value());
-    return started.value()->drain() ? exit_code::done : exit_code::failed;
+    wait_for_stop(signals, *running);
+    return running->drain() ? exit_code::done : exit_code::failed;
 }
 
+//! Reads the settings; a file with findings is read again for a while, as it may be incomplete
+//! while it is written.
 exit_code read_and_run(const daemon_options& options, const sigset_t& signals) {
     if (options.settings_file == nullptr) {
         std::cerr << "cyclamenmountd: --settings FILE is required\n";
         return exit_code::usage;
     }
-    const auto settings = load_settings(options.settings_file);
-    if (settings.has_error()) {
-        return print_findings(settings.error());
-    }
     if (options.check_only != 0) {
-        std::cout << options.settings_file << ": no faults\n";
-        return exit_code::done;
+        return check_settings(options.settings_file);
+    }
+    std::optional<daemon_settings> settings;
+    const auto load = [&]() -> start_attempt {
+        auto loaded = load_settings(options.settings_file);
+        if (loaded.has_error()) {
+            return {false, true, text_of(loaded.error())};
+        }
+        settings = std::move(loaded.value());
+        return {true, false, ""};
+    };
+    const start_outcome outcome =
+        retry_start(signals, {}, load, [](const std::string& failure) { std::cerr << failure; });
+    if (outcome != start_outcome::done) {
+        return outcome == start_outcome::stopped ? exit_code::done : exit_code::invalid_settings;
     }
-    return run(settings.value(), signals);
+    return run(*settings, signals);
 }
 
 }  // namespace
--- a/src/http_exchange/connection.cpp
+++ b/src/http_exchange/connection.cpp
@@ -3,7 +3,6 @@
 #include "http_exchange/tcp_options.h"
 
 #include <charconv>
-#include <optional>
 
 #include <sys/socket.h>
 
@@ -13,10 +12,13 @@
 
 constexpr std::size_t max_idle_per_address = 32;
 
-std::optional<tcp::endpoint> parse_address(const std::string& address) {
+}  // namespace
+
+result<tcp::endpoint> parse_endpoint_address(const std::string& address) {
+    const error invalid{error_kind::invalid, "not an IP:PORT address: " + address};
     const auto colon = address.rfind(':');
     if (colon == std::string::npos) {
-        return std::nullopt;
+        return invalid;
     }
     error_code failed;
     const auto ip = asio::ip::make_address(address.substr(0, colon), failed);
@@ -24,13 +26,11 @@
     const char* const end = address.data() + address.size();
     const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
     if (failed || parsed.ec != std::errc() || parsed.ptr != end || port == 0 || port > 65535) {
-        return std::nullopt;
+        return invalid;
     }
     return tcp::endpoint(ip, static_cast<unsigned short>(port));
 }
 
-}  // namespace
-
 connection::connection(asio::io_context& event_loop, std::string peer_address)
     : loop(event_loop), socket(event_loop), address(std::move(peer_address)) {}
 
@@ -81,14 +81,14 @@
 
 task<result<connection_ptr>> open_connection(asio::io_context& loop, const std::string& address,
                                              milliseconds limit) {
-    const auto endpoint = parse_address(address);
+    const auto endpoint = parse_endpoint_address(address);
     if (!endpoint) {
-        co_return error{error_kind::invalid, "not an IP:PORT address: " + address};
+        co_return endpoint.error();
     }
     auto opened = std::make_shared<connection>(loop, address);
     const time_limit limited(opened, limit);
     error_code failed;
-    co_await opened->socket.async_connect(*endpoint, redirect_error_to(failed));
+    co_await opened->socket.async_connect(endpoint.value(), redirect_error_to(failed));
     if (failed || opened->is_closed) {
         const bool is_timed_out = opened->timed_out;
         opened->close();
--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -76,6 +76,9 @@
     asio::steady_timer timer_;
 };
 
+//! Parses IP:PORT with a port from 1 to 65535.
+result<tcp::endpoint> parse_endpoint_address(const std::string& address);
+
 //! Connects to `address` (IP:PORT) within `limit`.
 task<result<connection_ptr>> open_connection(asio::io_context& loop, const std::string& address,
                                              milliseconds limit);
