--- a/src/http_server/http_server.cpp
+++ b/src/http_server/http_server.cpp
@@ -3,12 +3,14 @@
 #include <array>
 
 #include <civetweb.h>
+#include <glog/logging.h>
 
 namespace cyclamenmount {
 
 namespace {
 
 constexpr const char* request_timeout_ms = "10000";
+constexpr int internal_error_status = 500;
 
 struct context_stopper {
     void operator()(mg_context* context) const {
@@ -52,6 +54,27 @@
     mg_write(connection, response.body.data(), response.body.size());
 }
 
+http_server_response internal_error() {
+    return {internal_error_status,
+            "application/problem+json",
+            {},
+            R"({"title":"internal error","status":500})"};
+}
+
+//! Calls `work`; returns false and logs the request if it throws an exception.
+template <typename Work>
+bool succeeds(const mg_connection* connection, Work work) {
+    try {
+        work();
+        return true;
+    } catch (const std::exception& failure) {
+        const mg_request_info* const info = mg_get_request_info(connection);
+        LOG(ERROR) << "HTTP server: " << info->request_method << ' ' << info->local_uri
+                   << ": unexpected exception: " << failure.what();
+        return false;
+    }
+}
+
 }  // namespace
 
 struct http_server::impl {
@@ -59,31 +82,40 @@
     std::size_t max_body_bytes{0};
     std::unique_ptr<mg_context, context_stopper> context;
 
-    int serve(mg_connection* connection) const;
+    http_server_response respond(mg_connection* connection) const;
+    int serve(mg_connection* connection) const noexcept;
 };
 
-int http_server::impl::serve(mg_connection* connection) const {
+http_server_response http_server::impl::respond(mg_connection* connection) const {
     const mg_request_info* const info = mg_get_request_info(connection);
     auto body = read_body(connection, info->content_length, max_body_bytes);
-    http_server_response response;
     if (!body.has_value()) {
-        response = {413,
-                    "application/problem+json",
-                    {},
-                    R"({"title":"request body too large or incomplete"})"};
-    } else {
-        http_server_request call;
-        call.method = info->request_method;
-        call.path = info->local_uri;
-        call.query = info->query_string == nullptr ? "" : info->query_string;
-        call.body = std::move(*body);
-        call.header = [connection](const char* name) -> std::optional<std::string> {
-            const char* const value = mg_get_header(connection, name);
-            return value == nullptr ? std::nullopt : std::make_optional<std::string>(value);
-        };
-        response = handler(call);
+        return {413,
+                "application/problem+json",
+                {},
+                R"({"title":"request body too large or incomplete"})"};
+    }
+    http_server_request call;
+    call.method = info->request_method;
+    call.path = info->local_uri;
+    call.query = info->query_string == nullptr ? "" : info->query_string;
+    call.body = std::move(*body);
+    call.header = [connection](const char* name) -> std::optional<std::string> {
+        const char* const value = mg_get_header(connection, name);
+        return value == nullptr ? std::nullopt : std::make_optional<std::string>(value);
+    };
+    return handler(call);
+}
+
+//! Serves one request. An exception must not pass through CivetWeb's C code.
+int http_server::impl::serve(mg_connection* connection) const noexcept {
+    http_server_response response;
+    const bool has_response = succeeds(connection, [&] { response = respond(connection); }) ||
+                              succeeds(connection, [&] { response = internal_error(); });
+    if (!has_response) {
+        return internal_error_status;
     }
-    write_response(connection, response);
+    succeeds(connection, [&] { write_response(connection, response); });
     return response.status;
 }
 
