--- a/src/callers/caller_server.cpp
+++ b/src/callers/caller_server.cpp
@@ -88,16 +88,26 @@
     route_request(server, http);
 }
 
+//! Calls `work`; returns false and logs the exception if it throws one, which must not pass through
+//! CivetWeb's C code.
+template <typename Work>
+bool succeeds(std::string_view subject, Work work) {
+    try {
+        work();
+        return true;
+    } catch (const std::exception& failure) {
+        LOG(ERROR) << "callers: " << subject << " failed with an exception: " << failure.what();
+        return false;
+    }
+}
+
 int on_request(mg_connection* connection) {
     auto& server = *static_cast<server_state*>(mg_get_request_info(connection)->user_data);
     http_exchange http(connection);
-    try {
-        route(server, http);
-    } catch (const std::exception& failure) {
-        LOG(ERROR) << "callers: request failed with an exception: " << failure.what();
-        if (!http.streaming()) {
+    if (!succeeds("request", [&] { route(server, http); }) && !http.streaming()) {
+        succeeds("response to a failed request", [&] {
             http.send_problem({refusal_reason::internal, execution::may_have_run, {}, {}, {}});
-        }
+        });
     }
     return status_ok;
 }
@@ -106,8 +116,10 @@
 int on_http_error(mg_connection* connection, int status, const char* /*message*/) {
     http_exchange http(connection);
     const bool too_large = status == 413 || status == 414 || status == 431;
-    http.send_problem(refuse(too_large ? refusal_reason::too_large : refusal_reason::malformed,
-                             "the request line or headers can't be parsed", "head"));
+    succeeds("response to a malformed request", [&] {
+        http.send_problem(refuse(too_large ? refusal_reason::too_large : refusal_reason::malformed,
+                                 "the request line or headers can't be parsed", "head"));
+    });
     return 0;
 }
 
--- a/src/callers/pipeline_handler.cpp
+++ b/src/callers/pipeline_handler.cpp
@@ -1,6 +1,6 @@
 #include "callers/internal/server_state.h"
 
-#include <system_error>
+#include <exception>
 #include <thread>
 
 #include <boost/outcome/try.hpp>
@@ -52,27 +52,38 @@
     return ended;
 }
 
+//! Runs the pipeline and reports the end of the request.
+void run_and_report(server_state& server, const pipeline_settings& pipeline,
+                    const admitted& request, const pipeline_input& input, response_stream& sink) {
+    run_result ended = run_guarded(server, pipeline, request.request, input, sink);
+    request.guard->set_tokens(ended.tokens);
+    if (!request.request.key.empty()) {
+        const admitted_request& done = request.request;
+        server.dependencies.control.post(claim_ended{{done.workspace, done.key, done.request}});
+    }
+    const instant first = sink.first_token_at();
+    const milliseconds first_frame = first == instant{} ? 0ms : first - request.started;
+    record_end(server, request, ended.refused, std::move(ended.costs), first_frame);
+}
+
 //! Runs the stages on a separate thread, so that a slow caller doesn't delay the upstreams.
 void start_run(pipeline_exchange& exchange, const std::shared_ptr<response_stream>& sink) {
     exchange.runs_locally = true;
     auto counted = std::make_shared<scoped_counter>(exchange.server.running);
     auto run = [&server = exchange.server, &pipeline = exchange.pipeline, input = exchange.input,
                 request = exchange.request, sink, counted = std::move(counted)]() mutable {
-        run_result ended = run_guarded(server, pipeline, request->request, input, *sink);
-        request->guard->set_tokens(ended.tokens);
-        if (!request->request.key.empty()) {
-            const admitted_request& done = request->request;
-            server.dependencies.control.post(claim_ended{{done.workspace, done.key, done.request}});
+        try {
+            run_and_report(server, pipeline, *request, input, *sink);
+        } catch (const std::exception& failure) {
+            LOG(ERROR) << "callers: the end of request " << request->request.request.value
+                       << " could not be reported: unexpected exception: " << failure.what();
         }
-        const instant first = sink->first_token_at();
-        const milliseconds first_frame = first == instant{} ? 0ms : first - request->started;
-        record_end(server, *request, ended.refused, std::move(ended.costs), first_frame);
         request.reset();
         counted.reset();
     };
     try {
         std::thread(std::move(run)).detach();
-    } catch (const std::system_error& failure) {
+    } catch (const std::exception& failure) {
         LOG(ERROR) << "callers: no thread could be started for a pipeline run: " << failure.what();
         sink->fail(refuse(refusal_reason::overloaded, execution::not_run,
                           "no thread could be started for the run", {}));
--- a/src/callers/tests/caller_server_tests.cpp
+++ b/src/callers/tests/caller_server_tests.cpp
@@ -4,6 +4,8 @@
 #include "pipeline/tests/fake_control.h"
 #include "upstreams/tests/scripted_upstream.h"
 
+#include <stdexcept>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace cyclamenmount;
@@ -68,6 +70,9 @@
         dependencies.record = [this](const request_record& ended) {
             const std::lock_guard lock(control.mutex);
             records.push_back(ended);
+            if (on_record) {
+                on_record();
+            }
         };
         server = std::move(caller_server::start({}, std::move(dependencies)).value());
     }
@@ -89,6 +94,7 @@
     topology known;
     fake_control control;
     std::vector<request_record> records;
+    std::function<void()> on_record;  //!< called for each record
     std::vector<instance*> peers;
     std::atomic<bool> reachable{true};
     scripted_upstream upstream;
@@ -332,6 +338,28 @@
     UNSIGNED_LONGS_EQUAL(1, one.control.all_posted<claim_ended>().size());
 }
 
+// Guards against a process that ends because the end of one run can't be reported.
+TEST(caller_server, an_exception_at_the_end_of_a_run_fails_neither_its_response_nor_the_next) {
+    // GIVEN an instance that can't record the end of its first run
+    instance one("i1", four_stages(), respond_normally);
+    bool is_first = true;
+    one.on_record = [&is_first] {
+        if (std::exchange(is_first, false)) {
+            throw std::runtime_error("unknown target");
+        }
+    };
+    for (const char* key : {"k1", "k2"}) {
+        // WHEN a request runs
+        const caller_reply reply = send_request(one.port(), keyed_request(key));
+        // THEN its response is complete, and its run is over
+        check_complete(reply);
+        wait_until([&] { return one.server->drained(); });
+    }
+    // THEN each request has ended for the control loop
+    UNSIGNED_LONGS_EQUAL(2, one.control.all_posted<request_ended>().size());
+    UNSIGNED_LONGS_EQUAL(2, one.control.all_posted<claim_ended>().size());
+}
+
 TEST(caller_server, a_stop_is_announced_before_requests_are_refused) {
     // GIVEN an instance that accepts requests
     instance one("i1", four_stages(), respond_normally);
