--- a/src/control_loop/control_loop.cpp
+++ b/src/control_loop/control_loop.cpp
@@ -5,9 +5,14 @@
 
 #include <atomic>
 #include <deque>
+#include <exception>
 #include <mutex>
 #include <set>
 #include <thread>
+#include <typeinfo>
+
+#include <boost/core/demangle.hpp>
+#include <glog/logging.h>
 
 namespace cyclamenmount {
 
@@ -15,12 +20,27 @@
 
 using detail::decision;
 
+//! Pause after an unexpected exception of the loop itself.
+constexpr milliseconds failure_pause{100};
+
 //! A callback that reads the control state on the control thread, between two events.
 struct inspection {
     const std::function<void(const control_state&)>* callback{nullptr};
+    std::exception_ptr failure;  //!< exception of the callback
     bool done{false};
 };
 
+//! Type name of the event or effect that `value` holds.
+template <typename Variant>
+std::string kind_of(const Variant& value) {
+    return std::visit([](const auto& held) { return boost::core::demangle(typeid(held).name()); },
+                      value);
+}
+
+void log_failure(const std::string& subject, const std::exception& failure) {
+    LOG(ERROR) << "control loop: " << subject << ": unexpected exception: " << failure.what();
+}
+
 std::optional<event> return_admission(const decision& late_decision, ticket number) {
     const auto& received = std::get<admission_decided>(late_decision).decision;
     if (received.has_error()) {
@@ -85,8 +105,12 @@
 
     void post(event new_event);
     void run();
+    bool run_guarded(instant& next_tick);
     bool run_once(instant& next_tick);
+    void inspect_state();
     void apply(const event& new_event);
+    effects reduce_guarded(const event& new_event);
+    void execute_guarded(const effect& wanted);
     void execute(const effect& wanted);
     void deliver(decision value);
     std::optional<decision> request_decision(ticket number, event request, milliseconds limit,
@@ -112,13 +136,39 @@
 
 void control_loop::impl::run() {
     instant next_tick = boot_clock::now();
-    while (run_once(next_tick)) {}
+    while (run_guarded(next_tick)) {}
     decisions.close();
     const std::scoped_lock lock(mutex);
     inspections.clear();
     inspection_done.notify_all();
 }
 
+//! Like `run_once`, and goes on after an exception.
+bool control_loop::impl::run_guarded(instant& next_tick) {
+    try {
+        return run_once(next_tick);
+    } catch (const std::exception& failure) {
+        log_failure("thread", failure);
+    }
+    std::this_thread::sleep_for(failure_pause);
+    return true;
+}
+
+//! Carries out the queued inspections; called with `mutex` locked.
+void control_loop::impl::inspect_state() {
+    while (!inspections.empty()) {
+        auto* const next = inspections.front();
+        inspections.pop_front();
+        try {
+            (*next->callback)(state);
+        } catch (...) {
+            next->failure = std::current_exception();
+        }
+        next->done = true;
+        inspection_done.notify_all();
+    }
+}
+
 //! Waits for events, inspections or the next tick and handles them; false once stopped.
 bool control_loop::impl::run_once(instant& next_tick) {
     std::unique_lock lock(mutex);
@@ -130,13 +180,7 @@
     if (stopping) {
         return false;
     }
-    while (!inspections.empty()) {
-        auto* const next = inspections.front();
-        inspections.pop_front();
-        (*next->callback)(state);
-        next->done = true;
-        inspection_done.notify_all();
-    }
+    inspect_state();
     std::deque<event> batch;
     batch.swap(event_queue);
     lock.unlock();
@@ -151,12 +195,30 @@
 }
 
 void control_loop::impl::apply(const event& new_event) {
-    for (const auto& wanted : reduce(state, new_event, boot_clock::now())) {
-        execute(wanted);
+    for (const auto& wanted : reduce_guarded(new_event)) {
+        execute_guarded(wanted);
     }
     is_ready.store(cyclamenmount::is_ready(state.admission, state.roster, state.documents));
 }
 
+//! Effects of the event; none if the reducer throws an exception.
+effects control_loop::impl::reduce_guarded(const event& new_event) {
+    try {
+        return reduce(state, new_event, boot_clock::now());
+    } catch (const std::exception& failure) {
+        log_failure("event " + kind_of(new_event), failure);
+    }
+    return {};
+}
+
+void control_loop::impl::execute_guarded(const effect& wanted) {
+    try {
+        execute(wanted);
+    } catch (const std::exception& failure) {
+        log_failure("effect " + kind_of(wanted), failure);
+    }
+}
+
 void control_loop::impl::execute(const effect& wanted) {
     std::visit(overloaded{
                    [this](const send_to_peer& message) { handlers.send(message); },
@@ -284,7 +346,7 @@
 }
 
 bool control_loop::inspect(const std::function<void(const control_state&)>& callback) {
-    inspection request{&callback, false};
+    inspection request{&callback, nullptr, false};
     std::unique_lock lock(impl_->mutex);
     if (impl_->stopping) {
         return false;
@@ -292,6 +354,9 @@
     impl_->inspections.push_back(&request);
     impl_->work_available.notify_one();
     impl_->inspection_done.wait(lock, [&] { return request.done || impl_->stopping; });
+    if (request.failure) {
+        std::rethrow_exception(request.failure);
+    }
     return request.done;
 }
 
--- a/src/control_loop/control_loop.h
+++ b/src/control_loop/control_loop.h
@@ -43,7 +43,7 @@
     void post(event new_event);
 
     //! Runs `callback` on the control thread between two events and waits until it returns. False
-    //! if the loop was stopped before it ran.
+    //! if the loop was stopped before it ran. Passes on an exception of the callback.
     bool inspect(const std::function<void(const control_state&)>& callback);
 
     //! Interface for other threads; valid as long as this object.
