--- a/src/http_loop/http_loop.cpp
+++ b/src/http_loop/http_loop.cpp
@@ -5,11 +5,14 @@
 #include <mutex>
 #include <thread>
 
+#include <glog/logging.h>
+
 namespace cyclamenmount {
 
 namespace {
 
 constexpr int max_poll_ms = 1000;
+constexpr milliseconds failure_pause{100};  //!< pause after an unexpected exception of the loop
 
 struct multi_deleter {
     void operator()(CURLM* multi) const {
@@ -22,6 +25,24 @@
     return status == CURLE_OK;
 }
 
+//! Calls `work`; returns false and logs the exception if it throws one.
+template <typename Work>
+bool succeeds(std::string_view action, std::string_view subject, Work work) {
+    try {
+        work();
+        return true;
+    } catch (const std::exception& failure) {
+        LOG(ERROR) << "HTTP loop: " << action << ' ' << subject
+                   << ": unexpected exception: " << failure.what();
+        return false;
+    }
+}
+
+//! Passes the outcome of an exchange to its submitter.
+void finish(const detail::transfer& ended, const result<http_response>& outcome) {
+    succeeds("response from", ended.request.url, [&] { ended.done(outcome); });
+}
+
 }  // namespace
 
 struct http_loop::impl {
@@ -37,7 +58,8 @@
     void run();
     bool enqueue(owned_transfer& pending);
     bool start_submitted();
-    void start(owned_transfer pending);
+    void start(owned_transfer& pending);
+    bool run_once();
     void complete_finished();
     void abort_all();
 };
@@ -52,24 +74,28 @@
         keep_running = !stopping;
     }
     for (owned_transfer& next : pending) {
-        start(std::move(next));
+        if (!succeeds("request to", next->request.url, [&] { start(next); })) {
+            finish(*next, error{error_kind::unreachable, "the request could not be started"});
+        }
     }
     return keep_running;
 }
 
-void http_loop::impl::start(owned_transfer pending) {
+//! Starts the transfer. After an exception, `pending` still owns it, and it isn't running.
+void http_loop::impl::start(owned_transfer& pending) {
     auto prepared = detail::prepare(*pending);
     if (!prepared) {
-        pending->done(prepared.error());
+        finish(*pending, prepared.error());
         return;
     }
     CURL* easy = pending->easy.get();
+    owned_transfer& entry = running[easy];
+    entry = std::move(pending);
     if (curl_multi_add_handle(multi.get(), easy) != CURLM_OK) {
-        pending->done(
-            error{error_kind::unreachable, "curl_multi_add_handle rejected the transfer"});
-        return;
+        const owned_transfer rejected = std::move(running.extract(easy).mapped());
+        finish(*rejected,
+               error{error_kind::unreachable, "curl_multi_add_handle rejected the transfer"});
     }
-    running.emplace(easy, std::move(pending));
 }
 
 void http_loop::impl::complete_finished() {
@@ -82,25 +108,37 @@
         const CURLcode code = message->data.result;
         const owned_transfer ended = std::move(running.extract(easy).mapped());
         curl_multi_remove_handle(multi.get(), easy);
-        ended->done(detail::outcome_of(*ended, code));
+        finish(*ended, detail::outcome_of(*ended, code));
     }
 }
 
 void http_loop::impl::abort_all() {
     for (const auto& [easy, transfer] : running) {
         curl_multi_remove_handle(multi.get(), easy);
-        transfer->done(
-            error{error_kind::timeout, "the HTTP loop has ended before the exchange was complete"});
+        finish(*transfer, error{error_kind::timeout,
+                                "the HTTP loop has ended before the exchange was complete"});
     }
     running.clear();
 }
 
+//! One turn of the loop; false if it has to stop.
+bool http_loop::impl::run_once() {
+    if (!start_submitted()) {
+        return false;
+    }
+    int active = 0;
+    curl_multi_perform(multi.get(), &active);
+    complete_finished();
+    curl_multi_poll(multi.get(), nullptr, 0, max_poll_ms, nullptr);
+    return true;
+}
+
 void http_loop::impl::run() {
-    while (start_submitted()) {
-        int active = 0;
-        curl_multi_perform(multi.get(), &active);
-        complete_finished();
-        curl_multi_poll(multi.get(), nullptr, 0, max_poll_ms, nullptr);
+    bool keep_running = true;
+    while (keep_running) {
+        if (!succeeds("turn of", "the loop", [&] { keep_running = run_once(); })) {
+            std::this_thread::sleep_for(failure_pause);
+        }
     }
     abort_all();
 }
--- a/src/http_loop/tests/http_loop_tests.cpp
+++ b/src/http_loop/tests/http_loop_tests.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <memory>
+#include <stdexcept>
 #include <thread>
 
 // clang-format off
@@ -184,3 +185,40 @@
     // THEN each exchange's callback was called once
     LONGS_EQUAL(count, given.results.wait_for(count).size());
 }
+
+// Guards against a process that ends because the receiver of one response throws.
+TEST(http_loop_faults, an_exception_of_a_callback_does_not_end_the_loop) {
+    // GIVEN a request that is answered, and one to a closed port, whose callbacks throw
+    fixture given;
+    const std::string closed_port = "http://127.0.0.1:1/x";
+    for (const std::string& url : {"http://" + given.server->address() + "/x", closed_port}) {
+        given.loop->submit({"GET", url, {}, "", 5000ms}, [](const result<http_response>&) {
+            throw std::runtime_error("unexpected field");
+        });
+    }
+    // WHEN another request is submitted
+    given.submit("GET", 5000ms);
+    // THEN it is answered
+    const auto results = given.results.wait_for(1);
+    LONGS_EQUAL(1, results.size());
+    LONGS_EQUAL(200, results.front().value().status);
+}
+
+// Guards against a process that ends because a callback throws while the loop stops.
+TEST(http_loop_faults, an_exception_of_a_callback_does_not_prevent_the_stop) {
+    // GIVEN two requests without a response, whose callbacks throw
+    fixture given;
+    given.fault = server_fault::unresponsive;
+    std::atomic<int> ended{0};
+    for (int i = 0; i < 2; ++i) {
+        given.loop->submit({"GET", "http://" + given.server->address() + "/x", {}, "", 20000ms},
+                           [&ended](const result<http_response>&) {
+                               ++ended;
+                               throw std::runtime_error("unexpected field");
+                           });
+    }
+    // WHEN the loop stops
+    given.loop.reset();
+    // THEN both have ended
+    LONGS_EQUAL(2, ended);
+}
--- a/src/http_loop/transfer.cpp
+++ b/src/http_loop/transfer.cpp
@@ -4,6 +4,8 @@
 #include <cctype>
 #include <string_view>
 
+#include <glog/logging.h>
+
 namespace cyclamenmount::detail {
 
 namespace {
@@ -29,20 +31,31 @@
     return lowered;
 }
 
-std::size_t on_body(char* data, std::size_t /*size*/, std::size_t count, void* user_data) {
-    auto* current = static_cast<transfer*>(user_data);
-    if (current->response.body.size() + count > max_body_bytes) {
+//! Calls `receive`; returns 0, which ends the transfer, if it throws an exception, as that must not
+//! pass through libcurl's C code.
+template <typename Receive>
+std::size_t receive_guarded(const transfer& current, Receive receive) noexcept {
+    try {
+        return receive();
+    } catch (const std::exception& failure) {
+        LOG(ERROR) << "HTTP loop: response from " << current.request.url
+                   << ": unexpected exception: " << failure.what();
         return 0;
     }
-    current->response.body.append(data, count);
+}
+
+std::size_t receive_body(transfer& current, const char* data, std::size_t count) {
+    if (current.response.body.size() + count > max_body_bytes) {
+        return 0;
+    }
+    current.response.body.append(data, count);
     return count;
 }
 
-std::size_t on_header(char* data, std::size_t /*size*/, std::size_t count, void* user_data) {
-    auto* current = static_cast<transfer*>(user_data);
+std::size_t receive_header(transfer& current, const char* data, std::size_t count) {
     const std::string_view line(data, count);
     if (line.starts_with("HTTP/")) {
-        current->response.headers.clear();
+        current.response.headers.clear();
     }
     const std::size_t colon = line.find(':');
     if (colon == std::string_view::npos) {
@@ -51,10 +64,20 @@
     if (line.size() > max_header_line_bytes) {
         return 0;
     }
-    current->response.headers[lower(line.substr(0, colon))] = trimmed(line.substr(colon + 1));
+    current.response.headers[lower(line.substr(0, colon))] = trimmed(line.substr(colon + 1));
     return count;
 }
 
+std::size_t on_body(char* data, std::size_t /*size*/, std::size_t count, void* user_data) {
+    auto& current = *static_cast<transfer*>(user_data);
+    return receive_guarded(current, [&] { return receive_body(current, data, count); });
+}
+
+std::size_t on_header(char* data, std::size_t /*size*/, std::size_t count, void* user_data) {
+    auto& current = *static_cast<transfer*>(user_data);
+    return receive_guarded(current, [&] { return receive_header(current, data, count); });
+}
+
 void add_header(transfer& pending, const std::string& line) {
     curl_slist* extended = curl_slist_append(pending.headers.get(), line.c_str());
     if (extended != nullptr) {
