--- a/src/upstreams/canceller.cpp
+++ b/src/upstreams/canceller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 namespace cyclamenmount::detail {
@@ -9,6 +10,7 @@
 namespace {
 
 constexpr auto retry_pause = 100ms;
+constexpr auto failure_pause = 100ms;  //!< pause after an unexpected exception of the loop
 constexpr int active_poll_ms = 50;
 constexpr int idle_poll_ms = 1000;
 constexpr long max_idle_connections = 16;
@@ -17,6 +19,19 @@
     return size * count;
 }
 
+//! Calls `work`; returns false and logs the exception if it throws one.
+template <typename Work>
+bool succeeds(std::string_view action, std::string_view subject, Work work) {
+    try {
+        work();
+        return true;
+    } catch (const std::exception& failure) {
+        LOG(ERROR) << "upstreams: " << action << ' ' << subject
+                   << ": unexpected exception: " << failure.what();
+        return false;
+    }
+}
+
 }  // namespace
 
 canceller::canceller(milliseconds timeout) : timeout_(timeout), multi_(curl_multi_init()) {
@@ -42,22 +57,30 @@
 }
 
 void canceller::run() {
-    for (;;) {
-        const bool stopping = send_queued();
-        if (stopping && in_flight_.empty()) {
-            return;  // every request was sent at least once; pending retries are dropped
+    bool keep_running = true;
+    while (keep_running) {
+        if (!succeeds("turn of", "the canceller", [&] { keep_running = run_once(); })) {
+            std::this_thread::sleep_for(failure_pause);
         }
-        if (!stopping) {
-            retry_due();
-        }
-        int running = 0;
-        curl_multi_perform(multi_.get(), &running);
-        collect();
-        const bool idle = !stopping && in_flight_.empty() && retries_.empty();
-        curl_multi_poll(multi_.get(), nullptr, 0, idle ? idle_poll_ms : active_poll_ms, nullptr);
     }
 }
 
+bool canceller::run_once() {
+    const bool stopping = send_queued();
+    if (stopping && in_flight_.empty()) {
+        return false;  // every request was sent at least once; pending retries are dropped
+    }
+    if (!stopping) {
+        retry_due();
+    }
+    int running = 0;
+    curl_multi_perform(multi_.get(), &running);
+    collect();
+    const bool idle = !stopping && in_flight_.empty() && retries_.empty();
+    curl_multi_poll(multi_.get(), nullptr, 0, idle ? idle_poll_ms : active_poll_ms, nullptr);
+    return true;
+}
+
 bool canceller::send_queued() {
     std::deque<std::unique_ptr<cancel_request>> taken;
     bool stopping = false;
@@ -67,12 +90,26 @@
         stopping = stopping_;
     }
     for (auto& cancel : taken) {
-        send(std::move(cancel));
+        send_or_retry(std::move(cancel));
     }
     return stopping;
 }
 
-void canceller::send(std::unique_ptr<cancel_request> cancel) {
+void canceller::send_or_retry(std::unique_ptr<cancel_request> cancel) {
+    if (!succeeds("cancel request to", cancel->address, [&] { send(cancel); })) {
+        retry_later(std::move(cancel));
+    }
+}
+
+void canceller::retry_later(std::unique_ptr<cancel_request> cancel) {
+    const instant now = boot_clock::now();
+    if (now < cancel->retry_until) {
+        retries_.emplace(now + retry_pause, std::move(cancel));
+    }
+}
+
+//! Sends the request and takes it, unless an exception is thrown.
+void canceller::send(std::unique_ptr<cancel_request>& cancel) {
     in_flight_call value;
     value.easy.reset(curl_easy_init());
     add_header(value.headers, "Content-Type: application/json");
@@ -91,9 +128,9 @@
     curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, value.body.c_str());
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout_.count()));
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &ignore_body);
-    value.cancel = std::move(cancel);
-    curl_multi_add_handle(multi_.get(), easy);
     in_flight_.push_back(std::move(value));
+    in_flight_.back().cancel = std::move(cancel);
+    curl_multi_add_handle(multi_.get(), easy);
 }
 
 void canceller::collect() {
@@ -113,9 +150,8 @@
     in_flight_.erase(found);
     // Without a listener, the process that ran the attempt has exited.
     const bool ended = code == CURLE_OK || code == CURLE_COULDNT_CONNECT;
-    const instant now = boot_clock::now();
-    if (!ended && now < cancel->retry_until) {
-        retries_.emplace(now + retry_pause, std::move(cancel));
+    if (!ended) {
+        retry_later(std::move(cancel));
     }
 }
 
@@ -124,7 +160,7 @@
     while (!retries_.empty() && retries_.begin()->first <= now) {
         std::unique_ptr<cancel_request> cancel = std::move(retries_.begin()->second);
         retries_.erase(retries_.begin());
-        send(std::move(cancel));
+        send_or_retry(std::move(cancel));
     }
 }
 
--- a/src/upstreams/grant_guard.h
+++ b/src/upstreams/grant_guard.h
@@ -3,9 +3,12 @@
 
 #include "types/events.h"
 
+#include <exception>
 #include <functional>
 #include <utility>
 
+#include <glog/logging.h>
+
 namespace cyclamenmount {
 
 //! Posts `attempt_ended` once: on `post_end` or in its destructor, whichever is first.
@@ -19,7 +22,12 @@
     }
 
     ~grant_guard() {
-        post_end();
+        try {
+            post_end();
+        } catch (const std::exception& failure) {
+            LOG(ERROR) << "upstreams: end of attempt " << ended_.attempt.value
+                       << ": unexpected exception: " << failure.what();
+        }
     }
 
     grant_guard(const grant_guard&) = delete;
--- a/src/upstreams/internal/canceller.h
+++ b/src/upstreams/internal/canceller.h
@@ -41,8 +41,11 @@
     };
 
     void run();
+    bool run_once();     //!< one turn of the loop; false if it has to stop
     bool send_queued();  //!< true if the thread has to stop
-    void send(std::unique_ptr<cancel_request> cancel);
+    void send_or_retry(std::unique_ptr<cancel_request> cancel);
+    void retry_later(std::unique_ptr<cancel_request> cancel);
+    void send(std::unique_ptr<cancel_request>& cancel);
     void collect();
     void retry_due();
     void finish_call(CURL* handle, CURLcode code);
--- a/src/upstreams/tests/upstream_client_tests.cpp
+++ b/src/upstreams/tests/upstream_client_tests.cpp
@@ -1,9 +1,11 @@
 // Tests of the upstream protocol with connection and response faults on real sockets.
 #include "testing/memory_probe.h"
+#include "upstreams/internal/canceller.h"
 #include "upstreams/tests/scripted_upstream.h"
 #include "upstreams/upstream_client.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 #include <CppUTest/TestHarness.h>
 
@@ -437,3 +439,43 @@
     UNSIGNED_LONGS_EQUAL(2, upstream.requests().size());
     LONGS_EQUAL(1, upstream.requests()[1].number_on_connection);
 }
+
+// Guards against a process that ends because one cancel request can't be written.
+TEST(upstream_client, an_exception_in_one_cancel_request_does_not_prevent_the_next) {
+    // GIVEN a cancel request whose ID can't be encoded as JSON
+    scripted_upstream upstream([](const upstream_request&, const reply_socket&) {});
+    const auto cancel_of = [&](const std::string& request) {
+        const auto post = [this](const event& happened) { posted.add(happened); };
+        return detail::cancel_request{upstream.address(),
+                                      {request},
+                                      {"a-" + request},
+                                      boot_clock::now() + 5000ms,
+                                      grant_guard(post, {"a-" + request}, {"u1"})};
+    };
+    {
+        detail::canceller canceller(1000ms);
+        canceller.enqueue(cancel_of("\xff"));
+        // WHEN another one is queued
+        canceller.enqueue(cancel_of("r1"));
+    }
+    // THEN it is sent, and both attempts have ended
+    LONGS_EQUAL(1, upstream.cancels());
+    LONGS_EQUAL(2, posted.all().size());
+}
+
+// Guards against a process that ends because the end of one attempt can't be posted.
+TEST(upstream_client, an_exception_while_an_end_is_posted_stays_in_the_guard) {
+    // GIVEN a guard whose event can't be posted
+    int posts = 0;
+    {
+        const grant_guard guard(
+            [&posts](const event&) {
+                ++posts;
+                throw std::runtime_error("unexpected field");
+            },
+            {"a1"}, {"u1"});
+        // WHEN it is destroyed
+    }
+    // THEN it has tried once, and the test goes on
+    LONGS_EQUAL(1, posts);
+}
