--- a/src/operators/operator_server.cpp
+++ b/src/operators/operator_server.cpp
@@ -40,14 +40,20 @@
     return std::chrono::duration_cast<milliseconds>(now).count();
 }
 
-//! The text with control characters replaced by spaces and cut to `max_text_length` bytes, for
-//! history and logs.
+//! The text with each invalid UTF-8 sequence replaced by U+FFFD.
+std::string valid_utf8(std::string_view text) {
+    const std::string encoded = json(text).dump(-1, ' ', false, json::error_handler_t::replace);
+    return json::parse(encoded).get<std::string>();
+}
+
+//! The text with control characters replaced by spaces and cut to `max_text_length` bytes, as valid
+//! UTF-8, for history and logs.
 std::string sanitized(std::string_view text) {
     std::string plain;
     for (const char c : text.substr(0, max_text_length)) {
         plain += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
     }
-    return plain;
+    return valid_utf8(plain);
 }
 
 //! The version in an `If-Match` header; none unless it is a number in double quotes.
@@ -191,6 +197,9 @@
 }
 
 findings operator_server::impl::check_list(const std::string& name, const std::string& text) const {
+    if (valid_utf8(text) != text) {
+        return {{name, 0, "the list is not valid UTF-8"}};
+    }
     operator_lists lists;
     dependencies.inspect([&](const control_state& state) {
         lists = {state.documents.plans, state.documents.allowances};
@@ -214,7 +223,7 @@
 change_record operator_server::impl::new_change(const http_server_request& request,
                                                 std::string what) const {
     change_record change;
-    change.operation = request.header("X-Operation").value_or(generate_id());
+    change.operation = valid_utf8(request.header("X-Operation").value_or(generate_id()));
     change.who = sanitized(request.header("X-Operator").value_or("unnamed"));
     change.reason = sanitized(request.header("X-Reason").value_or(""));
     change.what = std::move(what);
--- a/src/operators/tests/operator_tests.cpp
+++ b/src/operators/tests/operator_tests.cpp
@@ -17,6 +17,7 @@
     control_state state;
     result<edit_decided> decision = edit_decided{};
     std::vector<std::string> audit;
+    change_record last_change;  //!< of the last edit of a list
     std::unique_ptr<operator_server> server;
 
     listener() {
@@ -34,7 +35,8 @@
         dependencies.metrics_page = [] { return std::string("# metrics\n"); };
         dependencies.audit = [this](const std::string& line) { audit.push_back(line); };
         dependencies.control.dump = [] { return std::string("{}"); };
-        dependencies.control.edit_list = [this](const list_edit_wanted&, milliseconds) {
+        dependencies.control.edit_list = [this](const list_edit_wanted& wanted, milliseconds) {
+            last_change = wanted.change;
             return decision;
         };
         dependencies.control.edit_availability = [this](const availability_wanted&, milliseconds) {
@@ -148,3 +150,31 @@
         STRCMP_CONTAINS("new", one.audit[0].c_str());
     }
 }
+
+// Guards against edits that the control thread can't encode as JSON.
+TEST(operator_listener, only_valid_utf8_reaches_the_control_thread) {
+    // GIVEN a control client that accepts each edit
+    listener one;
+    one.decision = edit_decided{1, edit_decided::verdict::accepted, 9, {}};
+    std::string cut_inside_letter;
+    while (cut_inside_letter.size() < 300) {
+        cut_inside_letter += "\u20ac";
+    }
+    for (const std::string& text : {std::string("caf\xe9"), cut_inside_letter}) {
+        // WHEN the headers of an edit hold invalid or overlong text
+        const auto edited = one.call("PUT", "/v1/lists/plans", good_plans,
+                                     {"If-Match: \"1\"", "X-Operator: " + text, "X-Reason: " + text,
+                                      "X-Operation: " + text});
+        // THEN the edit is accepted with valid text
+        LONGS_EQUAL(200, edited.status);
+        for (const std::string& recorded :
+             {one.last_change.who, one.last_change.reason, one.last_change.operation}) {
+            CHECK_FALSE(recorded.empty());
+            CHECK_TRUE(nlohmann::json::accept('"' + recorded + '"'));
+        }
+    }
+    // WHEN a list itself isn't valid UTF-8 THEN it is refused
+    const std::string invalid_list = "# caf\xe9\n" + good_plans;
+    LONGS_EQUAL(422, one.call("PUT", "/v1/lists/plans", invalid_list, {"If-Match: \"1\""}).status);
+    LONGS_EQUAL(422, one.call("POST", "/v1/lists/plans/check", invalid_list).status);
+}
