--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -48,7 +48,7 @@
     std::size_t last_result_hash{0};  //!< hash of the last stage response; see `stage_driver`
     bool is_closed{false};
     bool timed_out{false};  //!< a `time_limit` has passed
-    //! The last bytes that were sent are a response, or its begin, after which the connection ends.
+    //! The connection ends after the response, or the beginning of one, that was sent last.
     bool ends_with_response{false};
 };
 
--- a/src/http_exchange/connection_end.cpp
+++ b/src/http_exchange/connection_end.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-//! Bytes that are dropped before the connection is reset after all: more than a request may have.
-constexpr std::size_t max_dropped_bytes = std::size_t{16} * 1024 * 1024;
+//! Bytes that are dropped before the connection is reset after all, so that a peer that never stops
+//! doesn't take the processor for the whole time.
+constexpr std::size_t max_dropped_bytes = std::size_t{64} * 1024 * 1024;
 constexpr std::size_t most_closing = 512;
 //! Fraction of the descriptors that closing connections may take.
 constexpr std::size_t descriptor_divisor = 4;
@@ -56,12 +57,16 @@
     if (getrlimit(RLIMIT_NOFILE, &descriptors) == 0) {
         max = std::min<std::size_t>(max, descriptors.rlim_cur / descriptor_divisor);
     }
-    return std::make_shared<closing_connections>(closing_connections{0, max});
+    return std::make_shared<closing_connections>(closing_connections{0, max, 0});
 }
 
 task<> close_in_order(connection_ptr ended, std::shared_ptr<closing_connections> all,
                       milliseconds limit) {
-    if (ended->is_closed || all->count >= all->max) {
+    if (ended->is_closed) {
+        co_return;
+    }
+    if (all->count >= all->max) {
+        ++all->closed_at_once;
         ended->close();
         co_return;
     }
--- a/src/http_exchange/connection_end.h
+++ b/src/http_exchange/connection_end.h
@@ -10,7 +10,8 @@
 //! Connections of an event loop that are being closed in order.
 struct closing_connections {
     std::size_t count{0};
-    std::size_t max{0};  //!< further ones are closed at once
+    std::size_t max{0};             //!< further ones are closed at once
+    std::size_t closed_at_once{0};  //!< number of those, since the start
 };
 
 //! Makes the state for an event loop; a quarter of the process's descriptors may be closing.
--- a/src/http_exchange/listener.cpp
+++ b/src/http_exchange/listener.cpp
@@ -12,6 +12,7 @@
 //! Delay after a failed accept, usually for lack of file descriptors, which closing connections
 //! release.
 constexpr milliseconds accept_retry_pause{20};
+constexpr milliseconds accept_report_period{1000};
 
 //! True if opening a port may succeed later: a predecessor still holds it, the address isn't
 //! assigned yet, or a resource is exhausted.
@@ -81,14 +82,22 @@
     }
 }
 
+void listener::report_accept_failure(const error_code& failed) {
+    const instant now = boot_clock::now();
+    if (now - accept_failure_reported_at_ >= accept_report_period) {
+        accept_failure_reported_at_ = now;
+        reports_.on_accept_failure(address_, failed.message());
+    }
+}
+
 task<> listener::serve(std::function<void(connection_ptr)> on_connection) {
     co_await reopen();
     while (true) {
         auto accepted = std::make_shared<connection>(loop_, "");
         error_code failed;
         co_await acceptor_.async_accept(accepted->socket, redirect_error_to(failed));
-        report(failed);
         if (failed) {
+            report_accept_failure(failed);
             co_await pause(loop_, accept_retry_pause);
             continue;
         }
--- a/src/http_exchange/listener.h
+++ b/src/http_exchange/listener.h
@@ -12,10 +12,12 @@
 
 //! What a listener tells its owner.
 struct listener_reports {
-    //! The port can't be opened, or connections can't be accepted. Called when the reason changes.
+    //! The port can't be opened. Called when the reason changes.
     std::function<void(const std::string& address, const std::string& why)> on_failure;
-    //! The port is open after a failure, or connections are accepted again.
+    //! The port is open after a failure.
     std::function<void(const std::string& address)> on_recovery;
+    //! A connection can't be accepted. Called at most once a second.
+    std::function<void(const std::string& address, const std::string& why)> on_accept_failure;
 };
 
 class listener {
@@ -39,13 +41,15 @@
     error_code open();
     task<> reopen();
     void report(const error_code& failed);
+    void report_accept_failure(const error_code& failed);
 
     asio::io_context& loop_;
     tcp::endpoint endpoint_;
     std::string address_;
     listener_reports reports_;
     tcp::acceptor acceptor_;
-    error_code reported_;  //!< reason of the last failure; none while the port works
+    error_code reported_;  //!< reason of the last failure to open the port; none if it is open
+    instant accept_failure_reported_at_{};
 };
 
 }  // namespace cyclamenmount
