--- a/src/app/daemon_main.cpp
+++ b/src/app/daemon_main.cpp
@@ -14,6 +14,11 @@
 
 using namespace cyclamenmount;
 
+//! Runs before the static initialisers of the libraries, which take about a millisecond.
+[[gnu::constructor(101)]] void block_signals_at_start() {
+    block_signals({SIGTERM, SIGINT, SIGHUP, SIGUSR1});
+}
+
 enum class exit_code {
     done = 0,
     failed = 1,            //!< start failed, or requests still ran when the drain limit expired
@@ -70,28 +75,21 @@
             LOG(INFO) << "daemon: SIGHUP has no effect, as settings are read at the start only.";
             continue;
         }
-        std::cerr << "dump: " << running.dump() << std::endl;
+        try {
+            std::cerr << "dump: " << running.dump() << std::endl;
+        } catch (const std::exception& thrown) {
+            LOG(ERROR) << "daemon: no state dump: unexpected exception: " << thrown.what() << '.';
+        }
     }
 }
 
 //! Starts the daemon; a start that fails, for example as a predecessor still holds a port, is
 //! repeated for a while.
-exit_code run(const daemon_settings& settings, const sigset_t& signals) {
-    const auto peer_secret = load_secret(settings.peer_secret_file);
-    const auto operator_secret = load_secret(settings.operator_secret_file);
-    findings found;
-    for (const auto* const secret : {&peer_secret, &operator_secret}) {
-        if (secret->has_error()) {
-            found.push_back({"settings", 0, secret->error().message});
-        }
-    }
-    if (!found.empty()) {
-        return print_findings(found);
-    }
+exit_code run(const daemon_settings& settings, const daemon_secrets& secrets,
+              const sigset_t& signals) {
     std::unique_ptr<daemon_process> running;
     const auto start = [&]() -> start_attempt {
-        auto started =
-            daemon_process::start(settings, {peer_secret.value(), operator_secret.value()});
+        auto started = daemon_process::start(settings, secrets);
         if (started.has_error()) {
             const bool may_pass = started.error().kind == error_kind::system;
             return {false, may_pass, started.error().message};
@@ -109,8 +107,24 @@
     return running->drain() ? exit_code::done : exit_code::failed;
 }
 
-//! Reads the settings; a file with findings is read again for a while, as it may be incomplete
-//! while it is written.
+//! Reads the secrets that the settings name.
+checked<daemon_secrets> load_secrets(const daemon_settings& settings) {
+    const auto peer = load_secret(settings.peer_secret_file);
+    const auto operators = load_secret(settings.operator_secret_file);
+    findings found;
+    for (const auto* const secret : {&peer, &operators}) {
+        if (secret->has_error()) {
+            found.push_back({"settings", 0, secret->error().message});
+        }
+    }
+    if (!found.empty()) {
+        return found;
+    }
+    return daemon_secrets{peer.value(), operators.value()};
+}
+
+//! Reads the settings and secrets; a file with findings is read again for a while, as it may be
+//! incomplete while it is written.
 exit_code read_and_run(const daemon_options& options, const sigset_t& signals) {
     if (options.settings_file == nullptr) {
         std::cerr << "cyclamenmountd: --settings FILE is required\n";
@@ -120,12 +134,18 @@
         return check_settings(options.settings_file);
     }
     std::optional<daemon_settings> settings;
+    std::optional<daemon_secrets> secrets;
     const auto load = [&]() -> start_attempt {
         auto loaded = load_settings(options.settings_file);
         if (loaded.has_error()) {
             return {false, true, text_of(loaded.error())};
         }
+        auto loaded_secrets = load_secrets(loaded.value());
+        if (loaded_secrets.has_error()) {
+            return {false, true, text_of(loaded_secrets.error())};
+        }
         settings = std::move(loaded.value());
+        secrets = std::move(loaded_secrets.value());
         return {true, false, ""};
     };
     const start_outcome outcome =
@@ -133,7 +153,7 @@
     if (outcome != start_outcome::done) {
         return outcome == start_outcome::stopped ? exit_code::done : exit_code::invalid_settings;
     }
-    return run(*settings, signals);
+    return run(*settings, *secrets, signals);
 }
 
 }  // namespace
--- a/src/peers/peer_network.cpp
+++ b/src/peers/peer_network.cpp
@@ -108,7 +108,13 @@
 
     void advance_all(instant now) {
         for (auto& [peer_address, peer] : outgoing) {
-            advance(peer, context(), now);
+            const bool is_advanced = succeeds("connection to " + peer_address, [&, &to = peer] {
+                advance(to, context(), now);
+                return true;
+            });
+            if (!is_advanced) {
+                detail::drop_connection(peer, now);
+            }
         }
         std::erase_if(outgoing, [&](const auto& entry) { return is_unused(entry.second, now); });
         std::erase_if(incoming, [&](const detail::incoming_peer& peer) {
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -289,7 +289,6 @@
     LONGS_EQUAL(replaced, a.network->counters().connections_replaced);
 }
 
-// Guards against clients without the secret that take the memory of the process.
 // Guards against a process that ends because the handler of one message throws.
 TEST(peers, an_exception_of_a_handler_closes_only_its_connection) {
     // GIVEN a network whose handler throws at the first message
@@ -312,6 +311,7 @@
     CHECK_TRUE(ping_until(from, to, [&] { return handled >= 3; }));
 }
 
+// Guards against clients without the secret that take the memory of the process.
 TEST(peers, before_authentication_hardly_anything_is_kept) {
     // GIVEN an instance, and 64 clients without the secret
     endpoint a;
