--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -14,6 +14,13 @@
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 target_link_libraries(PkgConfig::GLOG INTERFACE PkgConfig::GFLAGS)
 set(CMAKE_FIND_LIBRARY_SUFFIXES ${shared_library_suffixes})
+# What glog's archive needs besides depends on the architecture. libunwind (x86-64) is linked as a
+# shared library, as its archive isn't position-independent, and after the compiler's runtime, which
+# defines the same functions: exceptions stay with the latter.
+if("unwind" IN_LIST GLOG_STATIC_LIBRARIES)
+  pkg_check_modules(UNWIND REQUIRED IMPORTED_TARGET libunwind)
+  target_link_libraries(PkgConfig::GLOG INTERFACE gcc_eh PkgConfig::UNWIND)
+endif()
 if(NOT CYCLAMENMOUNT_PLATFORM_ONLY)
   find_package(CURL REQUIRED)
   pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
