--- a/src/http_exchange/client_exchange.cpp
+++ b/src/http_exchange/client_exchange.cpp
@@ -240,6 +240,7 @@
         }
         std::string body;
         failed = co_await current.read_rest(body, limits.response_bytes);
+        reply.body_bytes = body.size();
         if (failed) {
             if (is_over_limit(failed) && !current.is_over_bound()) {
                 current.report_excess(limits.response_bytes);
--- a/src/http_exchange/client_exchange.h
+++ b/src/http_exchange/client_exchange.h
@@ -136,6 +136,7 @@
 struct exchange_reply {  // NOLINT(bugprone-exception-escape)
     exchange_outcome outcome{exchange_outcome::broken};
     http::response<http::string_body> response;  //!< set only if the exchange completed
+    std::size_t body_bytes{0};                   //!< received of the body, complete or not
 };
 
 struct exchange_limits {
