Threads with small stacks start on x86-64: no 64 kB of thread-local storage

What was seen: on x86-64 each test program with the fake servers ended with SIGSEGV in the first thread of the HTTP server (platform_recovery_tests: exit 139), before a test had run. Cause: thread-local storage is taken from the stack of each thread. The buffer for dropped bytes (65,536) and glog's (30,440) leave some 4 kB of the 102,400 that Debian's civetweb gives its threads. On arm64 that size is below the least one and isn't set. The edge process itself runs no civetweb. Change: the buffer is on the heap; one for each thread that closes connections, as before. Measured: the same program then runs its tests (thread-local storage 96,009 bytes before).

--- a/src/http_exchange/connection_end.cpp
+++ b/src/http_exchange/connection_end.cpp
@@ -1,7 +1,7 @@
 #include "http_exchange/connection_end.h"
 
 #include <algorithm>
-#include <array>
+#include <vector>
 
 #include <sys/resource.h>
 
@@ -40,8 +40,9 @@
 //! Receives bytes that nobody needs and returns their number; an error at the end of the
 //! connection.
 std::size_t drop_received(tcp::socket& from, error_code& failed) {
-    // One buffer for all connections, as the bytes aren't used.
-    static thread_local std::array<char, drop_bytes> dropped;
+    // One buffer for all connections, as the bytes aren't used; on the heap, as thread-local
+    // storage is taken from the stacks of all threads.
+    static thread_local std::vector<char> dropped(drop_bytes);
     const std::size_t count = from.read_some(asio::buffer(dropped), failed);
     if (failed == asio::error::would_block) {
         failed = {};
