--- a/src/http_exchange/client_exchange.cpp
+++ b/src/http_exchange/client_exchange.cpp
@@ -230,7 +230,7 @@
                               exchange_limits limits, receive_ledger_ptr ledger,
                               const response_filter* filter) {
     exchange_reply reply;
-    const time_limit limited(with, limits.time);
+    time_limit limited(with, limits.time);
     client_exchange current(with, std::move(request), std::move(ledger), with->address);
     co_await current.send();
     while (true) {
@@ -238,6 +238,9 @@
         if (failed) {
             break;
         }
+        if (limits.progress.step > 0ms) {
+            limited.follow_progress(limits.progress);
+        }
         std::string body;
         failed = co_await current.read_rest(body, limits.response_bytes);
         reply.body_bytes = body.size();
--- a/src/http_exchange/client_exchange.h
+++ b/src/http_exchange/client_exchange.h
@@ -142,6 +142,8 @@
 struct exchange_limits {
     milliseconds time{0};
     std::size_t response_bytes{0};  //!< longest body of a response
+    //! Replaces `time` once the head of the response has arrived, unless its step is 0.
+    progress_limit progress{};
 };
 
 //! Returns whether a response belongs to the request. Others are skipped: a response to an earlier
--- a/src/http_exchange/connection.cpp
+++ b/src/http_exchange/connection.cpp
@@ -53,19 +53,35 @@
     buffer.shrink_to_fit();
 }
 
-time_limit::time_limit(const connection_ptr& limited, milliseconds limit, expiry at_end)
-    : limited_(std::make_shared<connection_ptr>(limited)),
-      timer_(limited->loop, std::max(limit, milliseconds(0))) {
+struct time_limit::limited_use {
+    connection_ptr limited;
+    asio::steady_timer timer;
+    expiry at_end;
+    progress_limit progress;            //!< not used while its step is 0
+    std::size_t received_bytes_before;  //!< of the connection at the last look
+};
+
+void time_limit::start(const std::shared_ptr<limited_use>& use, milliseconds limit) {
+    use->received_bytes_before = use->limited->received_bytes;
+    use->timer.expires_after(limit);
     // The handler may run without an error after the cancellation, if the timer has expired
     // already.
-    timer_.async_wait([target = std::weak_ptr(limited_), at_end](const error_code& cancelled) {
+    use->timer.async_wait([target = std::weak_ptr(use)](const error_code& cancelled) {
         const auto expired = target.lock();
-        if (cancelled || !expired) {
+        // A limit that was replaced as it passed is no longer the current one.
+        if (cancelled || !expired || expired->timer.expiry() > std::chrono::steady_clock::now()) {
+            return;
+        }
+        connection& ended = *expired->limited;
+        progress_limit& progress = expired->progress;
+        if (ended.received_bytes > expired->received_bytes_before &&
+            progress.total > progress.step) {
+            progress.total -= progress.step;
+            start(expired, progress.step);
             return;
         }
-        connection& ended = **expired;
         ended.timed_out = true;
-        if (at_end == expiry::close) {
+        if (expired->at_end == expiry::close) {
             ended.close();
             return;
         }
@@ -74,9 +90,20 @@
     });
 }
 
+time_limit::time_limit(const connection_ptr& limited, milliseconds limit, expiry at_end)
+    : use_(std::make_shared<limited_use>(
+          limited_use{limited, asio::steady_timer(limited->loop), at_end, {}, 0})) {
+    start(use_, std::max(limit, milliseconds(0)));
+}
+
+void time_limit::follow_progress(progress_limit limit) {
+    use_->progress = limit;
+    start(use_, limit.step);
+}
+
 time_limit::~time_limit() {
     error_code ignored;  // the timer may have expired already
-    timer_.cancel(ignored);
+    use_->timer.cancel(ignored);
 }
 
 task<result<connection_ptr>> open_connection(asio::io_context& loop, const std::string& address,
--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -46,6 +46,7 @@
     milliseconds idle_limit{0};       //!< longest idle time after which the connection is reused
     bool is_reused{false};            //!< carried another exchange before
     std::size_t last_result_hash{0};  //!< hash of the last stage response; see `stage_driver`
+    std::size_t received_bytes{0};    //!< by all exchanges so far
     bool is_closed{false};
     bool timed_out{false};  //!< a `time_limit` has passed
     //! The connection ends after the response, or the beginning of one, that was sent last.
@@ -60,6 +61,13 @@
     cancel  //!< cancels its pending operation; the connection can still send
 };
 
+//! Limit on a message that has begun to arrive. It lasts for as long as bytes arrive, so that a
+//! long message on a narrow link isn't given up.
+struct progress_limit {
+    milliseconds step{0};   //!< time in which at least one byte has to arrive; 0: no such limit
+    milliseconds total{0};  //!< limit on the whole message
+};
+
 //! Ends the use of a connection when the limit has passed; destroying this object cancels the
 //! limit.
 class time_limit {
@@ -71,9 +79,16 @@
     time_limit(time_limit&&) = delete;
     time_limit& operator=(time_limit&&) = delete;
 
+    //! From now on the connection is ended only for lack of progress, or after the new total.
+    void follow_progress(progress_limit limit);
+
 private:
-    std::shared_ptr<connection_ptr> limited_;  //!< shared so that the handler sees the limit's end
-    asio::steady_timer timer_;
+    struct limited_use;
+
+    //! Ends the use after `limit`, or looks for progress then.
+    static void start(const std::shared_ptr<limited_use>& use, milliseconds limit);
+
+    std::shared_ptr<limited_use> use_;  //!< shared so that the handler sees the limit's end
 };
 
 //! Parses IP:PORT with a port from 1 to 65535.
--- a/src/http_exchange/message_reader.cpp
+++ b/src/http_exchange/message_reader.cpp
@@ -29,6 +29,7 @@
     const std::size_t count =
         co_await from.socket.async_read_some(from.buffer.prepare(size), redirect_error_to(failed));
     from.buffer.commit(count);
+    from.received_bytes += count;
     if (failed != asio::error::eof) {
         co_return failed;
     }
