--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -33,7 +33,8 @@
 constexpr milliseconds probe_period_alone{400};
 //! Number of pages kept for peers with older data; a peer that lacks more reads the store itself.
 constexpr std::size_t max_pages = 64;
-constexpr std::size_t max_page_bytes = std::size_t{512} * 1024;
+//! Holds the longest object of the store.
+constexpr std::size_t max_page_bytes = std::size_t{1200} * 1024;
 
 //! Total size of the kept pages.
 std::size_t page_bytes(const topic_state& topic) {
@@ -51,6 +52,10 @@
         return;
     }
     topic.version = page.version;
+    if (page.base <= topic.complete_from) {
+        topic.pages.clear();
+        topic.complete_from = page.base;
+    }
     if (page.text.empty() && !topic.pages.empty() && topic.pages.back().text.empty()) {
         topic.pages.back().version = page.version;
         return;
@@ -86,6 +91,10 @@
         topic.version = listed.version;
         topic.pages.clear();
         topic.complete_from = listed.version;
+        if (!listed.text.empty() && listed.text.size() <= max_page_bytes) {
+            topic.complete_from = first_version(listed.version);
+            topic.pages.push_back({topic.complete_from, listed.version, listed.text});
+        }
         out.push_back(list_accepted{listed.topic});
     }
 }
--- a/src/store_sync/store_sync.h
+++ b/src/store_sync/store_sync.h
@@ -9,11 +9,14 @@
 //!
 //! A topic is a part of the store that is read separately. Pages of changes are forwarded as the
 //! store sent them. A page that begins before the known version and ends after it is applied whole,
-//! since the last change of an object decides.
+//! since the last change of an object decides. A page that holds the whole state of a topic begins
+//! at `first_version`, replaces all earlier ones, and is applied by a peer however far that is
+//! behind.
 #pragma once
 
 #include "store_sync/read_timing.h"
 #include "types/effects.h"
+#include "types/store_version.h"
 
 #include <deque>
 #include <map>
@@ -37,6 +40,9 @@
 struct topic_listed {
     std::string topic;
     object_version version{0};
+    //! The list as a page that holds the topic's whole state, to forward it to peers; empty if it
+    //! can't be forwarded.
+    std::string text{};
 };
 
 //! A watch of the store returned the changes after `page.base`; the text is empty if there are
@@ -137,6 +143,11 @@
     std::uint64_t last_sequence{0};     //!< sequence number of the last request sent
 };
 
+//! Position before the first change of the era of `version`.
+constexpr object_version first_version(object_version version) {
+    return make_store_version(era_of(version), 0);
+}
+
 //! In a smaller fleet every instance reads the store: the calls then cost well under 1% of the
 //! capacity of the fleet.
 inline constexpr std::size_t min_fleet_with_sources = 24;
--- a/src/store_sync/tests/store_sync_tests.cpp
+++ b/src/store_sync/tests/store_sync_tests.cpp
@@ -314,6 +314,45 @@
     CHECK_TRUE(reply.topics.at(0).changes.at(0).text.empty());
 }
 
+// Guards against a peer that asks for all versions since its own: each of them is the whole state,
+// and the page with all of them takes longer than they are apart.
+TEST(store_sync, a_page_with_the_whole_state_is_all_that_a_peer_receives) {
+    // GIVEN a reader that has read a topic as a list, and then three pages with its whole state
+    store_sync state;
+    reduce(state, topic_listed{topic, 50, "list"}, start);
+    for (object_version version = 50; version < 53; ++version) {
+        reduce(state, topic_watched{topic, {0, version + 1, "state"}}, start);
+    }
+    // WHEN a peer that knows a much earlier version requests updates
+    news_request request;
+    request.sequence = 1;
+    request.known = {{topic, 5}};
+    const news_reply reply = reply_in(reduce(state, sync_requested{request}, start));
+    // THEN it receives the last page
+    LONGS_EQUAL(1, reply.topics.at(0).changes.size());
+    LONGS_EQUAL(53, reply.topics.at(0).changes.at(0).version);
+    // AND applies it
+    store_sync peer;
+    reduce(peer, topic_listed{topic, 5}, start);
+    LONGS_EQUAL(1,
+                reduce(peer, topic_watched{topic, reply.topics.at(0).changes.at(0)}, start).size());
+    LONGS_EQUAL(53, peer.topics.at(topic).version);
+}
+
+TEST(store_sync, a_list_with_the_whole_state_is_forwarded) {
+    // GIVEN a reader that has read nothing but a list with the whole state
+    store_sync state;
+    reduce(state, topic_listed{topic, 50, "list"}, start);
+    // WHEN a peer that knows an earlier version requests updates
+    news_request request;
+    request.sequence = 1;
+    request.known = {{topic, 5}};
+    const news_reply reply = reply_in(reduce(state, sync_requested{request}, start));
+    // THEN it receives the list
+    LONGS_EQUAL(1, reply.topics.at(0).changes.size());
+    STRCMP_EQUAL("list", reply.topics.at(0).changes.at(0).text.c_str());
+}
+
 TEST(store_sync, a_very_large_fleet_has_a_reader_in_each_zone) {
     // GIVEN 640 instances in three zones
     const auto members = make_members(640);
