--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -21,7 +21,8 @@
 constexpr milliseconds stale_request_period{200};
 //! A source that stays stale for longer doesn't read the store, or can't reach it, and is skipped.
 constexpr milliseconds stale_limit{1000};
-//! A source without a reply for this long is skipped; a round trip takes some milliseconds.
+//! A source without a reply for this long is skipped; a round trip takes some milliseconds. A reply
+//! that comes later, since it is long or its link is busy, still counts until the next request.
 constexpr milliseconds reply_timeout{600};
 //! Time between requests that detect the recovery of a skipped source.
 constexpr milliseconds retry_period{2000};
@@ -133,8 +134,8 @@
     bool has_fresh = false;  // an active source with fresh data was found
     for (source_state& source : state.sources) {
         const milliseconds time_since_request = now - source.request_sent_at;
-        if (source.open_sequence != 0 && time_since_request >= reply_timeout) {
-            source.open_sequence = 0;
+        const bool is_overdue = source.open_sequence != 0 && time_since_request >= reply_timeout;
+        if (is_overdue) {
             set_status(source, source_status::unresponsive, time_since_request, out);
         }
         const bool is_active = !source.is_skipped && !has_fresh;
@@ -144,7 +145,7 @@
         const bool is_due =
             time_since_request >= (source.is_skipped ? retry_period : usual_period) &&
             (is_active || source.is_skipped);
-        if (source.open_sequence == 0 && is_due) {
+        if ((source.open_sequence == 0 || is_overdue) && is_due) {
             send_request(state, source, now, out);
         }
     }
--- a/src/store_sync/tests/store_sync_tests.cpp
+++ b/src/store_sync/tests/store_sync_tests.cpp
@@ -353,6 +353,32 @@
     STRCMP_EQUAL("list", reply.topics.at(0).changes.at(0).text.c_str());
 }
 
+// Guards against a reply that is dropped for being late: a long one on a narrow link always is, and
+// so is the next one, which is longer.
+TEST(store_sync, a_reply_after_its_time_limit_is_used_until_the_next_request) {
+    // GIVEN an instance whose request to its source has gone unanswered for 0.8 s
+    fleet large(60);
+    large.run(3s);
+    instance& reader = large.first_reader();
+    instance& requester = large.any_follower();
+    large.run(460ms);  // ends between two requests
+    large.write();
+    reduce(reader.state, topic_watched{topic, {5, large.store_version, "changes"}}, large.now);
+    const instant sent_at = large.now + 500ms;
+    const auto requested = reduce(requester.state, sync_tick{}, sent_at);
+    const auto& request = std::get<news_request>(std::get<send_to_peer>(requested.at(0)).message);
+    const auto replied = reduce(reader.state, sync_requested{request}, sent_at);
+    for (const milliseconds time : {200ms, 400ms, 600ms, 800ms}) {
+        reduce(requester.state, sync_tick{}, sent_at + time);
+    }
+    // WHEN the reply arrives
+    const auto effects = reduce(requester.state, sync_replied{reply_in(replied)}, sent_at + 900ms);
+    // THEN its changes are applied, and confirmed as of the request
+    LONGS_EQUAL(large.store_version, requester.state.topics.at(topic).version);
+    const auto age = topic_age(requester.state, topic, sent_at + 900ms);
+    CHECK_TRUE(age && *age >= 900ms && *age < 1500ms);
+}
+
 TEST(store_sync, a_very_large_fleet_has_a_reader_in_each_zone) {
     // GIVEN 640 instances in three zones
     const auto members = make_members(640);
