--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -37,10 +37,15 @@
 //! Holds the longest object of the store.
 constexpr std::size_t max_page_bytes = std::size_t{1200} * 1024;
 
-//! Total size of the kept pages.
-std::size_t page_bytes(const topic_state& topic) {
+//! Changes in one reply; leaves room within a peer message. A peer that lacks more of a topic reads
+//! that from the store, instead of getting no reply at all.
+constexpr std::size_t max_reply_bytes = std::size_t{1536} * 1024;
+
+//! Total size of pages.
+template <typename Pages>
+std::size_t text_bytes(const Pages& pages) {
     std::size_t sum = 0;
-    for (const change_page& page : topic.pages) {
+    for (const change_page& page : pages) {
         sum += page.text.size();
     }
     return sum;
@@ -62,7 +67,7 @@
         return;
     }
     topic.pages.push_back(page);
-    while (topic.pages.size() > max_pages || page_bytes(topic) > max_page_bytes) {
+    while (topic.pages.size() > max_pages || text_bytes(topic.pages) > max_page_bytes) {
         topic.complete_from = topic.pages.front().version;
         topic.pages.pop_front();
     }
@@ -156,6 +161,7 @@
     state.last_peer_request_at = now;
     news_reply reply;
     reply.sequence = request.sequence;
+    std::size_t reply_bytes = 0;
     for (const topic_position& known : request.known) {
         const auto found = state.topics.find(known.name);
         if (found == state.topics.end() || !found->second.is_known) {
@@ -168,6 +174,12 @@
                 topic.pages, std::back_inserter(update.changes),
                 [&](const change_page& page) { return page.version > known.version; });
         }
+        const std::size_t bytes = text_bytes(update.changes);
+        if (reply_bytes + bytes > max_reply_bytes) {
+            update.changes.clear();
+        } else {
+            reply_bytes += bytes;
+        }
         reply.topics.push_back(std::move(update));
     }
     out.push_back(send_to_peer{request.from, std::move(reply)});
--- a/src/store_sync/tests/store_sync_tests.cpp
+++ b/src/store_sync/tests/store_sync_tests.cpp
@@ -1,4 +1,5 @@
 //! Tests of the store sync with a simulated fleet, one store and a fake clock.
+#include "codec/codec.h"
 #include "store_sync/internal/sources.h"
 #include "store_sync/store_sync.h"
 
@@ -379,6 +380,29 @@
     CHECK_TRUE(age && *age >= 900ms && *age < 1500ms);
 }
 
+// Guards against a reply beyond the limit on messages, which is dropped: the source would look
+// silent, and the next reply is longer.
+TEST(store_sync, a_reply_leaves_out_what_does_not_fit_into_a_message) {
+    // GIVEN a reader with long changes of three topics
+    store_sync state;
+    const std::string text(700'000, 'x');
+    for (const char* const name : {"a", "b", "c"}) {
+        reduce(state, topic_listed{name, 5, ""}, start);
+        reduce(state, topic_watched{name, {5, 6, text}}, start);
+    }
+    // WHEN a peer that lacks all of them requests updates
+    news_request request;
+    request.sequence = 1;
+    request.known = {{"a", 5}, {"b", 5}, {"c", 5}};
+    const news_reply reply = reply_in(reduce(state, sync_requested{request}, start));
+    // THEN the reply fits into a message, and names the version of the topic that it leaves out
+    CHECK_TRUE(encode_message(reply).size() <= max_message_bytes);
+    LONGS_EQUAL(1, reply.topics.at(0).changes.size());
+    LONGS_EQUAL(1, reply.topics.at(1).changes.size());
+    LONGS_EQUAL(0, reply.topics.at(2).changes.size());
+    LONGS_EQUAL(6, reply.topics.at(2).version);
+}
+
 TEST(store_sync, a_very_large_fleet_has_a_reader_in_each_zone) {
     // GIVEN 640 instances in three zones
     const auto members = make_members(640);
