Exceptions don't end the tests and the native daemon on x86-64

What was seen: on x86-64 each test program that links glog ended with SIGABRT (exit 134) at its first failed check, instead of reporting it: CppUTest throws there. So does any exception that passes a frame with something to destroy. Cause: since the compiler's unwinder is linked as an archive before libunwind. In a program with the shared C++ library, an exception is raised by libunwind, which the dynamic linker finds first, and resumed by the archive's _Unwind_Resume, which aborts (backtrace of platform_recovery_tests). The edge daemon links both as archives and isn't affected. Change: before libunwind stands the unwinder that the program's C++ library uses: the archive in the edge daemon, the shared library in all others. Measured: platform_recovery_tests with failing checks reports them and goes on (5 failures, exit 1), before: 134. Built on x86-64 only.

--- a/cmake/dependencies.cmake
+++ b/cmake/dependencies.cmake
@@ -16,10 +16,12 @@
 set(CMAKE_FIND_LIBRARY_SUFFIXES ${shared_library_suffixes})
 # What glog's archive needs besides depends on the architecture. libunwind (x86-64) is linked as a
 # shared library, as its archive isn't position-independent, and after the compiler's runtime, which
-# defines the same functions: exceptions stay with the latter.
+# defines the same functions: exceptions stay with the latter. That is the one that the C++ library of
+# the program uses, as two of them in one program end it at the first exception.
 if("unwind" IN_LIST GLOG_STATIC_LIBRARIES)
   pkg_check_modules(UNWIND REQUIRED IMPORTED_TARGET libunwind)
-  target_link_libraries(PkgConfig::GLOG INTERFACE gcc_eh PkgConfig::UNWIND)
+  target_link_libraries(PkgConfig::GLOG INTERFACE
+    $<IF:$<BOOL:$<TARGET_PROPERTY:HAS_STATIC_RUNTIME>>,gcc_eh,gcc_s> PkgConfig::UNWIND)
 endif()
 if(NOT CYCLAMENMOUNT_PLATFORM_ONLY)
   find_package(CURL REQUIRED)
