--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -166,7 +166,8 @@
     const int share = connection_share(view, limits);
     for (const serving_upstream& upstream : upstreams_of(view, wanted.pool)) {
         const upstream_record& record = state.records[upstream.id];
-        if (wanted.excluded.contains(upstream.id) || record.in_flight >= share ||
+        const bool is_allowed = !wanted.versions || wanted.versions->contains(upstream.version);
+        if (!is_allowed || wanted.excluded.contains(upstream.id) || record.in_flight >= share ||
             time_to_next_request(state, view, upstream, now) > 0ms) {
             continue;
         }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -83,7 +83,9 @@
     bool must_stay_in_zone{false};
     std::span<const prompt_part> prompt;  //!< parts of the prompt; empty for requests without one
     std::set<upstream_id> excluded;       //!< upstreams already tried
-    std::uint64_t random{0};              //!< random bits for the choice
+    //! Software versions of which the upstream must be one; none: any.
+    std::optional<std::set<software_version>> versions;
+    std::uint64_t random{0};  //!< random bits for the choice
 };
 
 //! Returns the state of an instance that has sent no request yet.
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -289,3 +289,23 @@
     // THEN there is no room
     LONGS_EQUAL(0, pool_room_at(state, view, pool, start, start).value());
 }
+
+TEST(placement, a_request_for_one_software_version_goes_to_no_other) {
+    // GIVEN a busy upstream of the version and an idle one of another
+    placement_state state;
+    serving_upstream busy = make_upstream("a", "z1");
+    busy.version = {"v1"};
+    serving_upstream idle = make_upstream("b", "z1");
+    idle.version = {"v2"};
+    const fleet_view view = make_view({busy, idle});
+    for (int i = 1; i < busy.slots; ++i) {
+        record_sent(state, busy, 0, start);
+    }
+    placement_request wanted = make_request(true);
+    wanted.versions = {{{"v1"}}};
+    // THEN
+    CHECK_TRUE(place(state, view, wanted, start)->id == busy.id);
+    // AND without an upstream of the version there is none
+    wanted.excluded = {busy.id};
+    CHECK_FALSE(place(state, view, wanted, start).has_value());
+}
--- a/src/serving/fleet_state.cpp
+++ b/src/serving/fleet_state.cpp
@@ -367,6 +367,7 @@
         state.published_suspects = make_crash_suspects(state);
     }
     view->suspects = state.published_suspects;
+    view->stream_versions = state.stream_versions;
     view->upstreams_known = state.upstreams_known;
     view->number = ++state.view_count;
     return view;
@@ -433,6 +434,10 @@
                     state, disproved.key,
                     [&](const upstream_crash& crash) { return crash.pool == disproved.pool; }, out);
             },
+            [&](const stream_versions_read& read) {
+                is_changed = state.stream_versions != read.versions;
+                state.stream_versions = read.versions;
+            },
             [&](const store_became_unreachable&) {
                 if (state.store_reached) {
                     state.store_reached = false;
--- a/src/serving/fleet_state.h
+++ b/src/serving/fleet_state.h
@@ -105,6 +105,11 @@
     pool_name pool;
 };
 
+//! Software versions that the store lists as those that may begin resumable streams.
+struct stream_versions_read {
+    pool_versions versions;
+};
+
 //! The store no longer answers.
 struct store_became_unreachable {};
 
@@ -118,8 +123,8 @@
     std::variant<serving_config_read, upstreams_listed, upstream_written, upstream_removed,
                  zones_out_of_service_listed, zone_taken_out_of_service, zone_returned_to_service,
                  members_listed, member_written, member_removed, suspects_listed, suspect_written,
-                 suspect_removed, crash_seen, crash_disproved, store_became_unreachable,
-                 store_became_reachable, fleet_tick>;
+                 suspect_removed, crash_seen, crash_disproved, stream_versions_read,
+                 store_became_unreachable, store_became_reachable, fleet_tick>;
 
 //! An upstream and the state of its store entry.
 struct upstream_entry {
@@ -167,6 +172,7 @@
     //! The suspects as published in views; replaced when they change.
     std::shared_ptr<const crash_suspects> published_suspects{
         std::make_shared<const crash_suspects>()};
+    pool_versions stream_versions;    //!< see `fleet_view`
     bool upstreams_known{false};      //!< the list of upstreams was read at least once
     bool store_reached{false};        //!< the store answered the last call
     instant store_reachable_since{};  //!< end of the last store outage
--- a/src/serving/types/fleet_view.h
+++ b/src/serving/types/fleet_view.h
@@ -4,6 +4,7 @@
 #include "crash_quarantine/crash_quarantine.h"
 #include "serving/types/serving_config.h"
 #include "types/fleet.h"
+#include "types/stream_origin.h"
 
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
     pool_name pool;
     std::string address;  //!< IP:PORT
     zone_name zone;
+    software_version version;        //!< unlike all others if the entry names none
     int slots{1};                    //!< requests that the upstream runs at the same time
     bool is_leaving{false};          //!< draining: it gets no new work
     std::uint64_t started_at_ms{0};  //!< Unix time in ms; tells apart incarnations with one id
@@ -34,6 +36,8 @@
     std::vector<member> members;  //!< instances of the fleet, including this one
     //! Keys of requests that were in progress when upstreams crashed; never null.
     std::shared_ptr<const crash_suspects> suspects{std::make_shared<const crash_suspects>()};
+    //! Software versions that may begin resumable streams, by pool.
+    pool_versions stream_versions;
     bool upstreams_known{false};  //!< the list of upstreams was read at least once
     std::uint64_t number{0};      //!< sequence number of the view within this process
 };
--- /dev/null
+++ b/src/stream_versions/stream_versions.cpp
@@ -0,0 +1,176 @@
+#include "stream_versions/stream_versions.h"
+
+#include <algorithm>
+#include <cstdio>
+
+#include <xxhash.h>
+
+namespace cyclamenmount {
+
+namespace {
+
+//! Records kept at most; an instance begins a few streams a second.
+constexpr std::size_t max_records = 4096;
+//! A caller repeats a request within its own deadline, which may lie beyond the route's timeout.
+constexpr int timeouts_of_callers = 2;
+//! Time in which a caller comes back, and in which all instances learn of a change.
+constexpr milliseconds take_up_margin{10'000};
+
+}  // namespace
+
+std::string stream_key(std::string_view attempt) {
+    constexpr int dropped_bits = 16;  // 48 bits tell apart what can be taken up at a time
+    char text[16];
+    std::snprintf(text, sizeof(text), "%012llx",
+                  static_cast<unsigned long long>(XXH3_64bits(attempt.data(), attempt.size()) >>
+                                                  dropped_bits));
+    return text;
+}
+
+void add_record(stream_records& records, stream_record added) {
+    records.recent.push_back(std::move(added));
+    if (records.recent.size() > max_records) {
+        records.recent.pop_front();
+    }
+}
+
+void expire_records(stream_records& records, instant oldest) {
+    while (!records.recent.empty() && records.recent.front().began_at < oldest) {
+        records.recent.pop_front();
+    }
+}
+
+std::optional<stream_origin> find_origin(const stream_records& records, std::string_view key) {
+    const auto found = std::ranges::find(records.recent, key, &stream_record::key);
+    return found == records.recent.end() ? std::nullopt : std::optional(found->origin);
+}
+
+std::optional<stream_origin> find_origin(const stored_streams& stored, std::string_view key,
+                                         const pool_name& pool) {
+    const auto recorded = stored.origins.find(std::string(key));
+    if (recorded != stored.origins.end()) {
+        return recorded->second;
+    }
+    const auto versions = stored.versions.find(pool);
+    if (versions == stored.versions.end() || versions->second.size() != 1) {
+        return std::nullopt;
+    }
+    return stream_origin{pool, *versions->second.begin()};
+}
+
+bool needs_records(const pool_versions& registered, const pool_name& pool) {
+    const auto found = registered.find(pool);
+    return found == registered.end() || found->second.size() != 1;
+}
+
+milliseconds take_up_time(const serving_config& config) {
+    milliseconds longest{0};
+    for (const route& one : config.routes) {
+        if (one.is_resumable) {
+            longest = std::max(longest, timeouts_of_callers * one.timeout + take_up_margin);
+        }
+    }
+    return longest;
+}
+
+pool_versions versions_in_use(const fleet_view& view) {
+    pool_versions used;
+    if (!view.config) {
+        return used;
+    }
+    for (const route& one : view.config->routes) {
+        if (one.kind != request_kind::stream || !one.is_resumable) {
+            continue;
+        }
+        for (const weighted_pool& target : one.pools) {
+            const auto pool = view.pools.find(target.pool);
+            if (pool == view.pools.end() || used.contains(target.pool)) {
+                continue;
+            }
+            for (const serving_upstream& upstream : pool->second) {
+                used[target.pool].insert(upstream.version);
+            }
+        }
+    }
+    return used;
+}
+
+bool can_begin_streams(const fleet_view& view) {
+    const pool_versions used = versions_in_use(view);
+    const pool_versions unregistered = difference(used, view.stream_versions);
+    return std::ranges::all_of(used, [&](const auto& entry) {
+        const auto found = unregistered.find(entry.first);
+        return found == unregistered.end() || found->second.size() < entry.second.size();
+    });
+}
+
+pool_versions versions_present(const fleet_state& fleet) {
+    pool_versions present;
+    for (const auto& [id, entry] : fleet.upstreams) {
+        present[entry.value.pool].insert(entry.value.version);
+    }
+    return present;
+}
+
+pool_versions difference(const pool_versions& all, const pool_versions& without) {
+    pool_versions rest;
+    for (const auto& [pool, versions] : all) {
+        const auto other = without.find(pool);
+        for (const software_version& version : versions) {
+            if (other == without.end() || !other->second.contains(version)) {
+                rest[pool].insert(version);
+            }
+        }
+    }
+    return rest;
+}
+
+void merge(pool_versions& into, const pool_versions& added) {
+    for (const auto& [pool, versions] : added) {
+        into[pool].insert(versions.begin(), versions.end());
+    }
+}
+
+void record_sightings(version_sightings& sightings, const pool_versions& registered,
+                      const pool_versions& present, instant now) {
+    std::map<stream_origin, instant> last_seen;
+    for (const auto& [pool, versions] : registered) {
+        const auto found = present.find(pool);
+        for (const software_version& version : versions) {
+            const stream_origin origin{pool, version};
+            const auto known = sightings.last_seen.find(origin);
+            const bool is_present = found != present.end() && found->second.contains(version);
+            // A version that this process hasn't seen yet may have left just before it started.
+            last_seen[origin] =
+                is_present || known == sightings.last_seen.end() ? now : known->second;
+        }
+    }
+    sightings.last_seen = std::move(last_seen);
+}
+
+pool_versions absent_versions(const version_sightings& sightings, const pool_versions& registered,
+                              milliseconds absence, instant now) {
+    pool_versions absent;
+    for (const auto& [pool, versions] : registered) {
+        std::set<software_version> candidates;
+        for (const software_version& version : versions) {
+            const auto seen = sightings.last_seen.find({pool, version});
+            if (seen != sightings.last_seen.end() && now - seen->second >= absence) {
+                candidates.insert(version);
+            }
+        }
+        if (candidates.size() == versions.size()) {
+            const auto latest =
+                std::ranges::max_element(candidates, {}, [&](const software_version& version) {
+                    return sightings.last_seen.at({pool, version});
+                });
+            candidates.erase(latest);
+        }
+        if (!candidates.empty()) {
+            absent[pool] = std::move(candidates);
+        }
+    }
+    return absent;
+}
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/stream_versions/stream_versions.h
@@ -0,0 +1,95 @@
+//! Keeps streams of events at the software version that began them.
+//!
+//! Upstreams of several software versions may serve one pool side by side, and what two versions
+//! write doesn't fit together. Two kinds of data in the store tell every instance, also one that
+//! has just started, where a stream began:
+//! - the versions of each pool that may begin resumable streams. A version is registered before it
+//!   begins the first one and stays until none of its streams can still be taken up. While a pool
+//!   has one version, a stream needs no record.
+//! - records of the streams of pools with several versions, written by the instances that began
+//!   them. A stream without a record isn't taken up then.
+//!
+//! Pure functions.
+#pragma once
+
+#include "serving/fleet_state.h"
+#include "types/stream_origin.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cyclamenmount {
+
+//! Key of a stream: a short digest of the id of the attempt that brought its first event.
+std::string stream_key(std::string_view attempt);
+
+//! A resumable stream that this instance began or took up.
+struct stream_record {
+    std::string key;
+    stream_origin origin;
+    instant began_at{};
+};
+
+//! The latest streams of this instance, oldest first.
+struct stream_records {
+    std::deque<stream_record> recent;
+};
+
+//! Adds a record; the oldest ones are dropped beyond a bound.
+void add_record(stream_records& records, stream_record added);
+
+//! Drops the records of streams that began before `oldest`.
+void expire_records(stream_records& records, instant oldest);
+
+//! Origin of a stream that this instance has recorded; none if it hasn't.
+std::optional<stream_origin> find_origin(const stream_records& records, std::string_view key);
+
+//! What the store holds of versions and streams.
+struct stored_streams {
+    pool_versions versions;                        //!< registered versions
+    std::map<std::string, stream_origin> origins;  //!< of recorded streams, by key
+};
+
+//! Origin of a stream according to the store: its record, or the only version of the pool that the
+//! request would be sent to. None if neither exists.
+std::optional<stream_origin> find_origin(const stored_streams& stored, std::string_view key,
+                                         const pool_name& pool);
+
+//! True if streams of the pool have to be recorded, as the pool isn't known to have one version.
+bool needs_records(const pool_versions& registered, const pool_name& pool);
+
+//! Time after its beginning in which a stream may be taken up; zero without resumable routes.
+milliseconds take_up_time(const serving_config& config);
+
+//! Versions of the usable upstreams in the pools of resumable routes.
+pool_versions versions_in_use(const fleet_view& view);
+
+//! True if all pools of resumable routes that have upstreams have one of a registered version.
+bool can_begin_streams(const fleet_view& view);
+
+//! Versions of all known upstreams, also of those that are leaving.
+pool_versions versions_present(const fleet_state& fleet);
+
+//! Versions of `all` that `without` lacks.
+pool_versions difference(const pool_versions& all, const pool_versions& without);
+
+//! Adds the versions of `added`.
+void merge(pool_versions& into, const pool_versions& added);
+
+//! When the last upstream of a registered version was seen.
+struct version_sightings {
+    std::map<stream_origin, instant> last_seen;
+};
+
+//! Updates the sightings of the registered versions.
+void record_sightings(version_sightings& sightings, const pool_versions& registered,
+                      const pool_versions& present, instant now);
+
+//! Registered versions without an upstream for at least `absence`. The version seen last is kept.
+pool_versions absent_versions(const version_sightings& sightings, const pool_versions& registered,
+                              milliseconds absence, instant now);
+
+}  // namespace cyclamenmount
--- /dev/null
+++ b/src/stream_versions/tests/stream_versions_tests.cpp
@@ -0,0 +1,180 @@
+#include "stream_versions/stream_versions.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace cyclamenmount;
+
+namespace {
+
+const pool_name engines{"engines"};
+const software_version v1{"v1"};
+const software_version v2{"v2"};
+constexpr instant start{milliseconds(1'000'000)};
+
+serving_upstream make_upstream(const char* id, const software_version& version) {
+    serving_upstream upstream;
+    upstream.id.value = id;
+    upstream.pool = engines;
+    upstream.address = "127.0.0.1:1";
+    upstream.version = version;
+    return upstream;
+}
+
+route make_route(const char* prefix, bool is_resumable, milliseconds timeout) {
+    route made;
+    made.path_prefix = prefix;
+    made.kind = request_kind::stream;
+    made.is_resumable = is_resumable;
+    made.timeout = timeout;
+    made.pools = {{engines, 1}};
+    return made;
+}
+
+}  // namespace
+
+TEST_GROUP(stream_versions){};
+
+TEST(stream_versions, a_stream_of_a_pool_with_one_version_needs_no_record) {
+    // GIVEN
+    const stored_streams stored{{{engines, {v1}}}, {}};
+    // WHEN
+    const auto origin = find_origin(stored, stream_key("a"), engines);
+    // THEN
+    CHECK_TRUE(origin == (stream_origin{engines, v1}));
+    CHECK_FALSE(needs_records(stored.versions, engines));
+}
+
+TEST(stream_versions, an_unrecorded_stream_of_a_pool_with_two_versions_is_not_guessed) {
+    // GIVEN
+    const stored_streams stored{{{engines, {v1, v2}}}, {{stream_key("a"), {engines, v2}}}};
+    // THEN
+    CHECK_TRUE(find_origin(stored, stream_key("a"), engines) == (stream_origin{engines, v2}));
+    CHECK_FALSE(find_origin(stored, stream_key("b"), engines).has_value());
+    CHECK_TRUE(needs_records(stored.versions, engines));
+}
+
+TEST(stream_versions, a_record_goes_before_the_only_version_of_the_pool) {
+    // GIVEN a version that was removed while the record of its stream is still there
+    const stored_streams stored{{{engines, {v2}}}, {{stream_key("a"), {engines, v1}}}};
+    // THEN
+    CHECK_TRUE(find_origin(stored, stream_key("a"), engines) == (stream_origin{engines, v1}));
+}
+
+TEST(stream_versions, a_pool_without_registered_versions_has_no_known_origin) {
+    CHECK_FALSE(find_origin(stored_streams{}, stream_key("a"), engines).has_value());
+    CHECK_TRUE(needs_records({}, engines));
+}
+
+TEST(stream_versions, own_records_are_found_until_they_expire) {
+    // GIVEN
+    stream_records records;
+    add_record(records, {stream_key("a"), {engines, v1}, start});
+    add_record(records, {stream_key("b"), {engines, v2}, start + 5s});
+    // WHEN
+    expire_records(records, start + 1s);
+    // THEN
+    CHECK_FALSE(find_origin(records, stream_key("a")).has_value());
+    CHECK_TRUE(find_origin(records, stream_key("b")) == (stream_origin{engines, v2}));
+}
+
+TEST(stream_versions, records_are_bounded) {
+    // GIVEN
+    constexpr int many = 10'000;
+    stream_records records;
+    // WHEN
+    for (int i = 0; i < many; ++i) {
+        add_record(records, {stream_key(std::to_string(i)), {engines, v1}, start});
+    }
+    // THEN
+    CHECK_TRUE(records.recent.size() < many);
+    CHECK_TRUE(find_origin(records, stream_key(std::to_string(many - 1))).has_value());
+}
+
+TEST(stream_versions, only_pools_of_resumable_routes_are_registered) {
+    // GIVEN a route that isn't resumable
+    auto config = std::make_shared<serving_config>();
+    config->routes = {make_route("/a/", false, 1s)};
+    fleet_view view;
+    view.pools[engines] = {make_upstream("u1", v1), make_upstream("u2", v2)};
+    view.config = config;
+    CHECK_TRUE(versions_in_use(view).empty());
+    // WHEN
+    config->routes.push_back(make_route("/b/", true, 1s));
+    // THEN
+    CHECK_TRUE(versions_in_use(view) == (pool_versions{{engines, {v1, v2}}}));
+}
+
+TEST(stream_versions, the_time_to_take_up_a_stream_follows_the_resumable_routes) {
+    // GIVEN
+    serving_config config;
+    config.routes = {make_route("/a/", false, 60s)};
+    CHECK_TRUE(take_up_time(config) == 0ms);
+    // WHEN
+    config.routes.push_back(make_route("/b/", true, 5s));
+    // THEN
+    CHECK_TRUE(take_up_time(config) >= 10s);
+    CHECK_TRUE(take_up_time(config) < 60s);
+}
+
+TEST(stream_versions, a_version_is_absent_only_after_its_upstreams_were_gone_for_long) {
+    // GIVEN a process that has just started: v1 may have left a moment ago
+    const pool_versions registered{{engines, {v1, v2}}};
+    version_sightings sightings;
+    record_sightings(sightings, registered, {{engines, {v2}}}, start);
+    CHECK_TRUE(absent_versions(sightings, registered, 10s, start + 9s).empty());
+    // WHEN
+    record_sightings(sightings, registered, {{engines, {v2}}}, start + 10s);
+    // THEN
+    CHECK_TRUE(absent_versions(sightings, registered, 10s, start + 10s) ==
+               (pool_versions{{engines, {v1}}}));
+    // AND a version that is back stays
+    record_sightings(sightings, registered, {{engines, {v1, v2}}}, start + 11s);
+    CHECK_TRUE(absent_versions(sightings, registered, 10s, start + 12s).empty());
+}
+
+TEST(stream_versions, the_last_version_of_a_pool_is_never_absent) {
+    // GIVEN
+    const pool_versions registered{{engines, {v1}}};
+    version_sightings sightings;
+    // WHEN
+    record_sightings(sightings, registered, {}, start);
+    // THEN
+    CHECK_TRUE(absent_versions(sightings, registered, 10s, start + 60s).empty());
+}
+
+TEST(stream_versions, versions_are_merged_and_subtracted_by_pool) {
+    // GIVEN
+    const pool_name other{"other"};
+    pool_versions versions{{engines, {v1}}};
+    // WHEN
+    merge(versions, {{engines, {v2}}, {other, {v1}}});
+    // THEN
+    CHECK_TRUE(versions == (pool_versions{{engines, {v1, v2}}, {other, {v1}}}));
+    CHECK_TRUE(difference(versions, {{engines, {v2}}}) ==
+               (pool_versions{{engines, {v1}}, {other, {v1}}}));
+}
+
+TEST(stream_versions, leaving_upstreams_count_as_present) {
+    // GIVEN
+    fleet_state fleet;
+    serving_upstream leaving = make_upstream("u1", v1);
+    leaving.is_leaving = true;
+    fleet.upstreams[leaving.id] = {leaving, 1, false, false, {}};
+    // THEN
+    CHECK_TRUE(versions_present(fleet) == (pool_versions{{engines, {v1}}}));
+}
+
+TEST(stream_versions, streams_begin_once_a_version_of_each_pool_is_registered) {
+    // GIVEN
+    auto config = std::make_shared<serving_config>();
+    config->routes = {make_route("/a/", true, 1s)};
+    fleet_view view;
+    view.config = config;
+    CHECK_TRUE(can_begin_streams(view));
+    // WHEN
+    view.pools[engines] = {make_upstream("u1", v1), make_upstream("u2", v2)};
+    CHECK_FALSE(can_begin_streams(view));
+    view.stream_versions[engines] = {v2};
+    // THEN
+    CHECK_TRUE(can_begin_streams(view));
+}
--- a/src/types/ids.h
+++ b/src/types/ids.h
@@ -26,6 +26,7 @@
 using plan_name = basic_name<struct plan_tag>;            //!< a plan in the allowance list
 using upstream_id = basic_name<struct upstream_tag>;      //!< one back end process
 using pool_name = basic_name<struct pool_tag>;            //!< a group of interchangeable upstreams
+using software_version = basic_name<struct version_tag>;  //!< of an upstream's software
 using pipeline_name = basic_name<struct pipeline_tag>;    //!< a sequence of stages
 using stage_name = basic_name<struct stage_tag>;          //!< one step of a pipeline
 using request_id = basic_name<struct request_tag>;        //!< id of one accepted request
