Packers of a dropped pool follow its upstreams that leave

What callers could see: pieces of a request that was admitted before a configuration dropped the pool of its stage reach upstreams after these have left (DRAIN), as long as jobs wait. Cause: a new view reached the packers of configured pools only. The packer of a dropped pool kept the upstreams of the last view that had it. Evidence: packing_agent_tests, "a pool that the configuration drops ...": 1 call to an upstream that had left. Change: such a packer keeps its limits and takes the upstreams of each view. The test passes.

--- a/src/packing/packing_agent.cpp
+++ b/src/packing/packing_agent.cpp
@@ -223,6 +223,24 @@
     }
 }
 
+//! Limits of the pools to pack for. Jobs of requests that were admitted earlier may wait for a pool
+//! that the configuration no longer has, so its packer keeps its limits.
+std::map<pool_name, stage_limits> packed_pools(const packing_agent& state,
+                                               const serving_config& config) {
+    std::map<pool_name, stage_limits> pools;
+    for (const auto& [name, hosted] : state.packers) {
+        if (!hosted.upstreams.empty()) {
+            pools.emplace(name, hosted.limits);
+        }
+    }
+    for (const auto& [name, limits] : config.pools) {
+        if (limits.stage) {
+            pools.insert_or_assign(name, *limits.stage);
+        }
+    }
+    return pools;
+}
+
 void apply_view(packing_agent& state, const fleet_view_ptr& view, instant now,
                 packing_agent_effects& out) {
     state.view = view;
@@ -230,11 +248,8 @@
     if (!view->config) {
         return;
     }
-    for (const auto& [name, limits] : view->config->pools) {
-        if (!limits.stage) {
-            continue;
-        }
-        pool_changed changed{*limits.stage, {}};
+    for (const auto& [name, limits] : packed_pools(state, *view->config)) {
+        pool_changed changed{limits, {}};
         const auto upstreams = view->pools.find(name);
         if (upstreams != view->pools.end()) {
             for (const serving_upstream& upstream : upstreams->second) {
--- a/src/packing/tests/packing_agent_tests.cpp
+++ b/src/packing/tests/packing_agent_tests.cpp
@@ -47,6 +47,24 @@
     LONGS_EQUAL(1, calls.size());
 }
 
+// Guards against pieces that are sent to upstreams which left after their pool was dropped.
+TEST(packing_agent, a_pool_that_the_configuration_drops_is_packed_for_upstreams_that_stay) {
+    // GIVEN packers whose pool the configuration then drops
+    fleet_view dropped = *make_view({});
+    dropped.config = std::make_shared<const serving_config>();
+    packing_agent first = make_packing_agent("a", make_view({}));
+    packing_agent second = make_packing_agent("b", make_view({}));
+    for (packing_agent* agent : {&first, &second}) {
+        reduce(*agent, view_changed{std::make_shared<const fleet_view>(dropped)}, start);
+    }
+    // WHEN a request that was admitted before submits a job, THEN it is sent to the upstream
+    LONGS_EQUAL(1, all_of<call_stage>(reduce(first, make_job_request(first, 1), start)).size());
+    // WHEN the upstream leaves, THEN no job is sent to it
+    dropped.pools.clear();
+    reduce(second, view_changed{std::make_shared<const fleet_view>(dropped)}, start);
+    LONGS_EQUAL(0, all_of<call_stage>(reduce(second, make_job_request(second, 1), start)).size());
+}
+
 TEST(packing_agent, jobs_at_an_unresponsive_packer_instance_are_reassigned) {
     // GIVEN a job at a packer instance that has stopped responding
     const auto view = make_view({make_member("a"), make_member("b")});
