A configuration that can't be read isn't confirmed

What callers could see: 401 and 404 for keys and routes of a configuration that the instance had read and couldn't decode (CONFIG, DENIED). Cause: its version was known and its read confirmed the topic, while an older configuration stayed in force. Change: a list or page whose last state can't be read raises the version, so that reading goes on from there, but the topic stays unconfirmed until a state can be read. Its age grows, so unknown routes and keys get 503, and peers don't take the instance for a fresh source. A topic of which nothing could be read has no age and isn't forwarded.

--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -46,7 +46,7 @@
 
 //! Applies a page if it begins at or before the known version and ends after it.
 void apply_page(topic_state& topic, const std::string& name, const change_page& page,
-                sync_effects& out) {
+                bool is_readable, sync_effects& out) {
     if (page.base > topic.version || page.version <= topic.version) {
         return;
     }
@@ -61,10 +61,18 @@
         topic.pages.pop_front();
     }
     if (!page.text.empty()) {
+        topic.is_readable = is_readable;
         out.push_back(page_accepted{name, page});
     }
 }
 
+//! Records that the store had no newer version than the known one.
+void confirm(topic_state& topic, instant at) {
+    if (topic.is_readable) {
+        topic.confirmed_at = std::max(topic.confirmed_at, at);
+    }
+}
+
 //! Ranks the sources after a change of the members; known sources keep their state.
 void update_sources(store_sync& state, const std::vector<member>& members) {
     state.uses_sources = members.size() >= min_fleet_with_sources;
@@ -81,19 +89,20 @@
 void apply_list(store_sync& state, const topic_listed& listed, instant now, sync_effects& out) {
     topic_state& topic = state.topics[listed.topic];
     topic.is_known = true;
-    topic.confirmed_at = std::max(topic.confirmed_at, now);
     if (listed.version >= topic.version) {
         topic.version = listed.version;
+        topic.is_readable = listed.is_readable;
         topic.pages.clear();
         topic.complete_from = listed.version;
         out.push_back(list_accepted{listed.topic});
     }
+    confirm(topic, now);
 }
 
 void apply_watch(store_sync& state, const topic_watched& watched, instant now, sync_effects& out) {
     topic_state& topic = state.topics[watched.topic];
-    apply_page(topic, watched.topic, watched.page, out);
-    topic.confirmed_at = std::max(topic.confirmed_at, now);
+    apply_page(topic, watched.topic, watched.page, watched.is_readable, out);
+    confirm(topic, now);
 }
 
 //! Sends a request for updates after the known version of each topic.
@@ -148,7 +157,7 @@
     reply.sequence = request.sequence;
     for (const topic_position& known : request.known) {
         const auto found = state.topics.find(known.name);
-        if (found == state.topics.end() || !found->second.is_known) {
+        if (found == state.topics.end() || found->second.confirmed_at == instant{}) {
             continue;
         }
         const topic_state& topic = found->second;
@@ -172,12 +181,14 @@
     }
     topic_state& topic = found->second;
     for (const change_page& page : update.changes) {
-        apply_page(topic, update.name, page, out);
+        constexpr bool is_readable = true;
+        apply_page(topic, update.name, page, is_readable, out);
     }
     // If changes are missing, the data stays unconfirmed. The topic is then read from the store. A
     // source in an earlier era confirms a history that the store has lost.
-    if (topic.version >= update.version && era_of(topic.version) == era_of(update.version)) {
-        topic.confirmed_at = std::max(topic.confirmed_at, confirmed_at);
+    if (topic.is_readable && topic.version >= update.version &&
+        era_of(topic.version) == era_of(update.version)) {
+        confirm(topic, confirmed_at);
         topic.source_confirmed_at = std::max(topic.source_confirmed_at, confirmed_at);
     }
 }
@@ -220,7 +231,7 @@
 std::optional<milliseconds> topic_age(const store_sync& state, const std::string& topic,
                                       instant now) {
     const auto found = state.topics.find(topic);
-    if (found == state.topics.end() || !found->second.is_known) {
+    if (found == state.topics.end() || found->second.confirmed_at == instant{}) {
         return std::nullopt;
     }
     return now - found->second.confirmed_at;
--- a/src/store_sync/store_sync.h
+++ b/src/store_sync/store_sync.h
@@ -9,7 +9,8 @@
 //!
 //! A topic is a part of the store that is read separately. Pages of changes are forwarded as the
 //! store sent them. A page that begins before the known version and ends after it is applied whole,
-//! since the last change of an object decides.
+//! since the last change of an object decides. A state that can't be read has a version, so that
+//! reading continues from there, but isn't confirmed: what is in force is older.
 #pragma once
 
 #include "store_sync/read_timing.h"
@@ -37,6 +38,7 @@
 struct topic_listed {
     std::string topic;
     object_version version{0};
+    bool is_readable{true};  //!< false: the list doesn't tell the topic's whole state
 };
 
 //! A watch of the store returned the changes after `page.base`; the text is empty if there are
@@ -44,6 +46,7 @@
 struct topic_watched {
     std::string topic;
     change_page page;
+    bool is_readable{true};  //!< false: the changes don't tell the topic's whole state
 };
 
 //! A peer requested updates.
@@ -51,7 +54,7 @@
     news_request request;
 };
 
-//! A source replied to a request for updates.
+//! A source replied to a request for updates. It holds no changes that can't be read.
 struct sync_replied {
     news_reply reply;
 };
@@ -108,9 +111,11 @@
 
 //! What this instance has read of one topic.
 struct topic_state {
-    object_version version{0};        //!< last known version of the store
-    bool is_known{false};             //!< read in full at least once
-    instant confirmed_at{};           //!< last time at which the store had no newer version
+    object_version version{0};  //!< last known version of the store
+    bool is_known{false};       //!< read in full at least once
+    bool is_readable{true};     //!< false: an older state than that of `version` is in force
+    //! Last time at which the store had no newer state than the one in force; zero if never.
+    instant confirmed_at{};
     instant source_confirmed_at{};    //!< value of `confirmed_at` from the replies of sources
     std::deque<change_page> pages;    //!< last pages, oldest first, kept for peers
     object_version complete_from{0};  //!< `pages` hold all changes after this version
@@ -145,7 +150,7 @@
 std::vector<sync_effect> reduce(store_sync& state, const sync_event& happened, instant now);
 
 //! Returns the time since the store is known to have had no newer version of the topic; none if the
-//! topic has never been read.
+//! topic has never been read, or only in a form that can't be decoded.
 std::optional<milliseconds> topic_age(const store_sync& state, const std::string& topic,
                                       instant now);
 
--- a/src/store_sync/tests/store_sync_tests.cpp
+++ b/src/store_sync/tests/store_sync_tests.cpp
@@ -296,6 +296,39 @@
     LONGS_EQUAL(9, state.topics.at(topic).version);
 }
 
+// Guards against a change that counts as confirmed although it couldn't be read.
+TEST(store_sync, a_state_that_cant_be_read_is_not_confirmed) {
+    // GIVEN a topic whose last change, or whose list, can't be read
+    store_sync watched;
+    reduce(watched, topic_listed{topic, 5}, start);
+    reduce(watched, topic_watched{topic, {5, 6, "odd"}, false}, start + 1s);
+    store_sync listed = watched;
+    reduce(listed, topic_listed{topic, 6, false}, start + 1s);
+    for (store_sync* state : {&watched, &listed}) {
+        // WHEN the store has no further changes
+        reduce(*state, topic_watched{topic, {6, 7, ""}}, start + 2s);
+        // THEN reading continues from its version, but what is in force isn't confirmed
+        LONGS_EQUAL(7, state->topics.at(topic).version);
+        LONGS_EQUAL(3000, topic_age(*state, topic, start + 3s)->count());
+        // WHEN a later change can be read, THEN it is
+        reduce(*state, topic_watched{topic, {7, 8, "sound"}}, start + 4s);
+        LONGS_EQUAL(0, topic_age(*state, topic, start + 4s)->count());
+    }
+}
+
+TEST(store_sync, a_topic_of_which_nothing_could_be_read_has_no_age_and_isnt_forwarded) {
+    // GIVEN a topic whose first list can't be read
+    store_sync state;
+    reduce(state, topic_listed{topic, 5, false}, start);
+    // WHEN its age is asked for, or a peer requests updates
+    news_request request;
+    request.known = {{topic, 5}};
+    const auto replied = reduce(state, sync_requested{request}, start);
+    // THEN there is none
+    CHECK_FALSE(topic_age(state, topic, start).has_value());
+    CHECK_TRUE(reply_in(replied).topics.empty());
+}
+
 TEST(store_sync, versions_without_changes_are_forwarded_as_one_page) {
     // GIVEN a reader whose version rises while its topic doesn't change
     store_sync state;
