One odd value in a configuration hides only what it belongs to

What callers could see: with one value of another type among 1,400 routes no change of the whole configuration came into force; with `tenants` of another type, requests without a key were served. Cause: any value that can't be read made the whole configuration unreadable; a `tenants` that is no list counted as none. Change: a route that can't be read, or whose pool can't, keeps its host and path and is refused with 503; an unreadable key or workspace is left out, and unknown keys then get 503 instead of 401.

--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -40,12 +40,20 @@
         return refuse_unknown(configuration, refusal_reason::unknown_target,
                               "no route matches the host and path");
     }
+    if (!admitted.matched->is_usable) {
+        return refuse(refusal_reason::not_ready, "the configuration of the route can't be read",
+                      not_ready_retry_after);
+    }
     admitted.priority = admitted.matched->priority;
     if (!view.config->has_workspaces) {
         return admitted;
     }
     const serving_workspace* const workspace = find_workspace(*view.config, target.key);
     if (workspace == nullptr && !admitted.matched->is_public) {
+        if (!view.config->has_all_keys) {
+            return refuse(refusal_reason::not_ready, "some API keys can't be read",
+                          not_ready_retry_after);
+        }
         return refuse_unknown(configuration, refusal_reason::unauthenticated, "unknown API key");
     }
     if (workspace != nullptr) {
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -36,7 +36,8 @@
 }
 
 //! Refuses an unknown route or key permanently only by a configuration that is current. With an
-//! older one the refusal is `not_ready` with a time to retry.
+//! older one, or if the part that decides couldn't be read, the refusal is `not_ready` with a time
+//! to retry.
 decided<admitted_request> admit(const fleet_view& view, const request_target& target,
                                 const knowledge_age& configuration);
 
--- a/src/serving/tests/admission_tests.cpp
+++ b/src/serving/tests/admission_tests.cpp
@@ -64,6 +64,29 @@
     CHECK_TRUE(admit(view, {"h", "/p/1", "k"}, outdated).has_value());
 }
 
+TEST(admission, a_part_of_the_configuration_that_cant_be_read_refuses_nothing_for_good) {
+    // GIVEN a configuration with a route and keys that couldn't be read
+    fleet_view view = make_view();
+    auto config = std::make_shared<serving_config>(*view.config);
+    config->has_all_keys = false;
+    route odd;
+    odd.host = "h";
+    odd.path_prefix = "/p/odd/";
+    odd.is_usable = false;
+    config->routes.push_back(odd);
+    view.config = config;
+    // WHEN a request of that route, or one with an unknown key arrives
+    // THEN it is refused as not ready, with a time to retry
+    const auto decision = admit(view, {"h", "/p/odd/1", "k"}, current);
+    CHECK_TRUE(reason_of(decision) == refusal_reason::not_ready);
+    CHECK_TRUE(decision.error().retry_after > 0ms);
+    CHECK_TRUE(reason_of(admit(view, {"h", "/p/1", "x"}, current)) == refusal_reason::not_ready);
+    // AND what is known is admitted, and what isn't there is unknown
+    CHECK_TRUE(admit(view, {"h", "/p/1", "k"}, current).has_value());
+    CHECK_TRUE(reason_of(admit(view, {"h", "/q/1", "k"}, current)) ==
+               refusal_reason::unknown_target);
+}
+
 TEST(admission, an_instance_without_a_configuration_refuses_as_not_ready) {
     // GIVEN an empty view
     const fleet_view view;
--- a/src/serving/types/serving_config.h
+++ b/src/serving/types/serving_config.h
@@ -48,6 +48,7 @@
     std::vector<route_stage> stages;
     bool is_public{false};     //!< requests need no key
     bool is_resumable{false};  //!< an interrupted stream may continue on another upstream
+    bool is_usable{true};      //!< false: host and path are known, but not all of the rest
 };
 
 //! How the upstreams of a pool process the pieces of a stage.
@@ -94,7 +95,9 @@
     std::vector<route> routes;
     std::map<pool_name, pool_limits> pools;
     std::unordered_map<std::string, serving_workspace> workspaces_by_key;
-    bool has_workspaces{false};  //!< if false, requests carry no key
+    bool has_workspaces{false};           //!< if false, requests carry no key
+    bool has_all_keys{true};              //!< false: a workspace or a key of it couldn't be read
+    std::vector<std::string> unreadable;  //!< parts that couldn't be read, for the log
     caller_limits limits;
 };
 
