A late answer of the store doesn't make old knowledge look fresh

What callers could see: 401 and 404 by an older configuration at an instance that was paused or busy while an answer lay in its socket, and at peers, to which it forwarded the age (CONFIG). Cause: a list or a watch confirmed its topic as of the time at which the answer was handled. Change: a list and changes confirm as of the start of the call, an answer without changes as of the end of its wait. So that a sound instance never looks out of date, the watch after a late change is shorter, and so is the pause before it; both are derived from the topic's age (read_timing). The timing for peers has moved there too. Tests of the store sync pass the times of their calls, and their simulated fleet derives its waits as the control thread does.

--- a/src/store_sync/read_timing.h
+++ b/src/store_sync/read_timing.h
@@ -26,11 +26,26 @@
 //! Time that the response to a call may take beyond the wait that the call asks for.
 inline constexpr milliseconds response_grace{500};
 
+//! Age from which the data of a sync source is stale; an instance that reads the store has younger
+//! data.
+inline constexpr milliseconds source_stale_after{700};
+
 //! Timing of a topic whose changes have to be in force within `apply`, and within the contact time
 //! after a disturbance. A watch on an unresponsive connection is given up so early that the changes
 //! it missed can still be read in time.
 read_timing derive_read_timing(const sync_bounds& bounds, milliseconds apply);
 
+//! Timing of the same topic while peers rely on this instance's reading. Replies to them carry the
+//! age of the data, so it is confirmed often, and changes are passed on quickly.
+read_timing derive_shared_timing(const read_timing& own);
+
+//! Wait of the next watch of a topic of this age. A watch that reports changes confirms the topic
+//! as of its start, so the one after it is shorter, lest the topic's age exceeds `max_age`.
+milliseconds derive_next_wait(const read_timing& timing, milliseconds age);
+
+//! Delay of the next watch after changes.
+milliseconds derive_next_pause(const read_timing& timing, milliseconds age);
+
 //! Age from which data of a peer counts as out of date and is read from the store.
 milliseconds derive_stale_after(const sync_bounds& bounds);
 
--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -14,10 +14,8 @@
 
 //! Time between requests to the source; updates reach this instance up to this much later.
 constexpr milliseconds request_period{400};
-//! Age from which the data of a source is stale; an instance that reads the store has younger data.
 //! While a source is stale, the next one is polled too, and both more often, as a source starts to
 //! read the store only when it is first polled.
-constexpr milliseconds source_stale_after{700};
 constexpr milliseconds stale_request_period{200};
 //! A source that stays stale for longer doesn't read the store, or can't reach it, and is skipped.
 constexpr milliseconds stale_limit{1000};
@@ -35,6 +33,9 @@
 constexpr std::size_t max_pages = 64;
 constexpr std::size_t max_page_bytes = std::size_t{512} * 1024;
 
+//! Difference by which the store's clock may end a wait early.
+constexpr milliseconds clock_tolerance{10};
+
 //! Total size of the kept pages.
 std::size_t page_bytes(const topic_state& topic) {
     std::size_t sum = 0;
@@ -86,7 +87,15 @@
     state.sources = std::move(ranked);
 }
 
-void apply_list(store_sync& state, const topic_listed& listed, instant now, sync_effects& out) {
+//! Earliest time at which the store can have answered a watch. Changes, or the end of the watch,
+//! may have come at any time since it was sent.
+instant earliest_answer(const topic_watched& watched, instant now) {
+    const bool has_waited =
+        watched.page.text.empty() && now - watched.sent_at + clock_tolerance >= watched.wait;
+    return has_waited ? std::min(now, watched.sent_at + watched.wait) : watched.sent_at;
+}
+
+void apply_list(store_sync& state, const topic_listed& listed, sync_effects& out) {
     topic_state& topic = state.topics[listed.topic];
     topic.is_known = true;
     if (listed.version >= topic.version) {
@@ -96,13 +105,13 @@
         topic.complete_from = listed.version;
         out.push_back(list_accepted{listed.topic});
     }
-    confirm(topic, now);
+    confirm(topic, listed.sent_at);
 }
 
 void apply_watch(store_sync& state, const topic_watched& watched, instant now, sync_effects& out) {
     topic_state& topic = state.topics[watched.topic];
     apply_page(topic, watched.topic, watched.page, watched.is_readable, out);
-    confirm(topic, now);
+    confirm(topic, earliest_answer(watched, now));
 }
 
 //! Sends a request for updates after the known version of each topic.
@@ -266,7 +275,7 @@
     std::visit(
         overloaded{
             [&](const sync_members_changed& changed) { update_sources(state, changed.members); },
-            [&](const topic_listed& listed) { apply_list(state, listed, now, out); },
+            [&](const topic_listed& listed) { apply_list(state, listed, out); },
             [&](const topic_watched& watched) { apply_watch(state, watched, now, out); },
             [&](const sync_requested& requested) {
                 send_reply(state, requested.request, now, out);
--- a/src/store_sync/store_sync.h
+++ b/src/store_sync/store_sync.h
@@ -11,6 +11,9 @@
 //! store sent them. A page that begins before the known version and ends after it is applied whole,
 //! since the last change of an object decides. A state that can't be read has a version, so that
 //! reading continues from there, but isn't confirmed: what is in force is older.
+//!
+//! An answer may be handled long after the store gave it, e.g. by a process that was paused. It
+//! therefore confirms a topic as of the earliest time at which the store can have given it.
 #pragma once
 
 #include "store_sync/read_timing.h"
@@ -38,6 +41,7 @@
 struct topic_listed {
     std::string topic;
     object_version version{0};
+    instant sent_at{};       //!< start of the call
     bool is_readable{true};  //!< false: the list doesn't tell the topic's whole state
 };
 
@@ -46,6 +50,8 @@
 struct topic_watched {
     std::string topic;
     change_page page;
+    instant sent_at{};       //!< start of the call
+    milliseconds wait{0};    //!< time after which the store answers without changes
     bool is_readable{true};  //!< false: the changes don't tell the topic's whole state
 };
 
--- a/src/store_sync/tests/store_sync_tests.cpp
+++ b/src/store_sync/tests/store_sync_tests.cpp
@@ -11,8 +11,7 @@
 namespace {
 
 constexpr instant start{milliseconds(1'000'000)};
-constexpr milliseconds step{20};            // simulated time between two rounds of reads
-constexpr milliseconds watch_timeout{400};  // a watch without changes returns after this time
+constexpr milliseconds step{20};  // simulated time between two rounds of reads
 constexpr const char* topic = "t";
 
 std::vector<member> make_members(std::size_t count) {
@@ -28,6 +27,8 @@
 struct instance {
     store_sync state;
     instant watching_since{};  //!< start of the open watch; zero if none is open
+    milliseconds wait{0};      //!< time after which the open watch returns without changes
+    bool is_reading{false};    //!< it has read the store since it last had to
     bool is_frozen{false};     //!< the process is paused
     bool is_rejected{false};   //!< the store rejects its calls; peers can still reach it
     milliseconds max_lag{0};   //!< maximum age of a change before the instance received it
@@ -41,7 +42,7 @@
             instance& added = instances[self.address];
             added.state.self = self;
             reduce(added.state, sync_members_changed{members}, now);
-            reduce(added.state, topic_listed{topic, store_version}, now);
+            reduce(added.state, topic_listed{topic, store_version, now}, now);
         }
     }
 
@@ -96,26 +97,32 @@
         }
     }
 
-    //! Runs the watch of an instance, which returns changes at once or nothing after its timeout.
+    //! Runs the watch of an instance, which returns changes at once or nothing after its wait.
     void read(instance& reader) {
         if (!must_read_store(reader.state, topic, now)) {
+            reader.is_reading = false;
             reader.watching_since = {};
             return;
         }
+        const milliseconds age = *topic_age(reader.state, topic, now);
         if (reader.watching_since == instant{}) {
+            const read_timing timing = derive_shared_timing(derive_read_timing(bounds, 2s));
+            reader.wait = reader.is_reading ? derive_next_wait(timing, age) : 0ms;
+            reader.is_reading = true;
             reader.watching_since = now;
             ++calls;
             readers.insert(reader.state.self.address);
         }
         const object_version known = reader.state.topics.at(topic).version;
-        const bool is_first = reader.watching_since == now;
         if (reader.is_rejected) {
             reader.watching_since = {};
-        } else if (store_version > known || is_first ||
-                   now - reader.watching_since >= watch_timeout) {
+        } else if (store_version > known || now - reader.watching_since >= reader.wait) {
             const char* const text = store_version > known ? "changes" : "";
-            reduce(reader.state, topic_watched{topic, {known, store_version, text}}, now);
-            reader.watching_since = is_first ? now - step : instant{};
+            const change_page page{known, store_version, text};
+            reduce(reader.state, topic_watched{topic, page, reader.watching_since, reader.wait},
+                   now);
+            reader.watching_since = {};
+            max_age = std::max(max_age, age);
         }
     }
 
@@ -166,6 +173,8 @@
     std::vector<std::pair<std::string, send_to_peer>> messages;  //!< in transit, with the sender
     std::set<std::string> readers;  //!< instances that have called the store
     int calls{0};                   //!< watches started by all instances
+    sync_bounds bounds;
+    milliseconds max_age{0};  //!< greatest age of data that a watch then confirmed
 };
 
 news_reply reply_in(const std::vector<sync_effect>& effects) {
@@ -272,7 +281,7 @@
     fleet large(60);
     large.run(3s);
     instance& reader = large.first_reader();
-    reduce(reader.state, topic_listed{topic, 50}, large.now);
+    reduce(reader.state, topic_listed{topic, 50, large.now}, large.now);
     // WHEN an instance at version 5 requests updates
     news_request request;
     request.sequence = 1;
@@ -288,30 +297,70 @@
 TEST(store_sync, a_store_response_older_than_a_peer_update_changes_nothing) {
     // GIVEN an instance that received version 9 from a peer while its own store call was open
     store_sync state;
-    reduce(state, topic_listed{topic, 9}, start);
+    reduce(state, topic_listed{topic, 9, start}, start);
     // WHEN its own call returns changes up to version 7, or a list as of version 8
     // THEN neither is applied
-    LONGS_EQUAL(0, reduce(state, topic_watched{topic, {5, 7, "old"}}, start).size());
-    LONGS_EQUAL(0, reduce(state, topic_listed{topic, 8}, start).size());
+    LONGS_EQUAL(0, reduce(state, topic_watched{topic, {5, 7, "old"}, start}, start).size());
+    LONGS_EQUAL(0, reduce(state, topic_listed{topic, 8, start}, start).size());
     LONGS_EQUAL(9, state.topics.at(topic).version);
 }
 
+// Guards against a sound source that looks stale as its watches confirm what was true at their
+// start.
+TEST(store_sync, a_source_stays_fresh_wherever_changes_fall_into_its_watches) {
+    // GIVEN a fleet of sixty in which every instance uses its source
+    for (const milliseconds period : {380ms, 400ms, 420ms, 460ms, 780ms, 820ms}) {
+        fleet large(60);
+        large.run(3s);
+        large.readers.clear();
+        large.max_age = 0ms;
+        // WHEN the store changes periodically
+        for (int i = 0; i < 20; ++i) {
+            large.write();
+            large.run(period);
+        }
+        // THEN the data of the one that reads the store is always fresh
+        LONGS_EQUAL(1, large.readers.size());
+        CHECK_TRUE(large.max_age < source_stale_after - 100ms);
+    }
+}
+
+// Guards against an answer that lay in the socket and makes old knowledge look fresh.
+TEST(store_sync, an_answer_confirms_a_topic_as_of_the_earliest_time_it_can_be_from) {
+    // GIVEN answers that are handled 8 s after the calls, e.g. as the process was paused
+    const instant sent_at = start;
+    const instant handled_at = start + 8s;
+    const auto age_after = [&](const sync_event& happened) {
+        store_sync state;
+        reduce(state, topic_listed{topic, 5, start - 60s}, start - 60s);
+        reduce(state, happened, handled_at);
+        return *topic_age(state, topic, handled_at);
+    };
+    // WHEN a list or changes are handled, THEN the topic is confirmed as of the start of the call
+    LONGS_EQUAL(8000, age_after(topic_listed{topic, 6, sent_at}).count());
+    LONGS_EQUAL(8000, age_after(topic_watched{topic, {5, 6, "changes"}, sent_at, 2s}).count());
+    // WHEN there are no changes, THEN as of the end of the wait
+    LONGS_EQUAL(6000, age_after(topic_watched{topic, {5, 6, ""}, sent_at, 2s}).count());
+    // WHEN the watch was cut off, THEN as of its start
+    LONGS_EQUAL(8000, age_after(topic_watched{topic, {5, 6, ""}, sent_at, 9s}).count());
+}
+
 // Guards against a change that counts as confirmed although it couldn't be read.
 TEST(store_sync, a_state_that_cant_be_read_is_not_confirmed) {
     // GIVEN a topic whose last change, or whose list, can't be read
     store_sync watched;
-    reduce(watched, topic_listed{topic, 5}, start);
-    reduce(watched, topic_watched{topic, {5, 6, "odd"}, false}, start + 1s);
+    reduce(watched, topic_listed{topic, 5, start}, start);
+    reduce(watched, topic_watched{topic, {5, 6, "odd"}, start + 1s, 0ms, false}, start + 1s);
     store_sync listed = watched;
-    reduce(listed, topic_listed{topic, 6, false}, start + 1s);
+    reduce(listed, topic_listed{topic, 6, start + 1s, false}, start + 1s);
     for (store_sync* state : {&watched, &listed}) {
         // WHEN the store has no further changes
-        reduce(*state, topic_watched{topic, {6, 7, ""}}, start + 2s);
+        reduce(*state, topic_watched{topic, {6, 7, ""}, start + 2s}, start + 2s);
         // THEN reading continues from its version, but what is in force isn't confirmed
         LONGS_EQUAL(7, state->topics.at(topic).version);
         LONGS_EQUAL(3000, topic_age(*state, topic, start + 3s)->count());
         // WHEN a later change can be read, THEN it is
-        reduce(*state, topic_watched{topic, {7, 8, "sound"}}, start + 4s);
+        reduce(*state, topic_watched{topic, {7, 8, "sound"}, start + 4s}, start + 4s);
         LONGS_EQUAL(0, topic_age(*state, topic, start + 4s)->count());
     }
 }
@@ -319,7 +368,7 @@
 TEST(store_sync, a_topic_of_which_nothing_could_be_read_has_no_age_and_isnt_forwarded) {
     // GIVEN a topic whose first list can't be read
     store_sync state;
-    reduce(state, topic_listed{topic, 5, false}, start);
+    reduce(state, topic_listed{topic, 5, start, false}, start);
     // WHEN its age is asked for, or a peer requests updates
     news_request request;
     request.known = {{topic, 5}};
@@ -332,9 +381,9 @@
 TEST(store_sync, versions_without_changes_are_forwarded_as_one_page) {
     // GIVEN a reader whose version rises while its topic doesn't change
     store_sync state;
-    reduce(state, topic_listed{topic, 5}, start);
+    reduce(state, topic_listed{topic, 5, start}, start);
     for (object_version version = 5; version < 500; ++version) {
-        reduce(state, topic_watched{topic, {version, version + 1, ""}}, start);
+        reduce(state, topic_watched{topic, {version, version + 1, ""}, start}, start);
     }
     // WHEN an instance at the first version requests updates
     news_request request;
