A configuration that was never confirmed has no age

What was seen: configuration_age_ms=246712 beside "no configuration has been read yet": the time since the machine's start. On a machine that started a moment ago, such a configuration also counted as current. Cause: the age was counted from a time of zero.

--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -4,6 +4,7 @@
 #include "serving/types/fleet_view.h"
 #include "types/errors.h"
 
+#include <optional>
 #include <string_view>
 
 namespace cyclamenmount {
@@ -26,13 +27,13 @@
 //! How long ago the store confirmed what an instance knows, and from which age on a change that has
 //! to be in force may be missing.
 struct knowledge_age {
-    milliseconds age{0};
+    std::optional<milliseconds> age;  //!< none if the store has never confirmed it
     milliseconds max{0};
 };
 
 //! Returns true if no change that has to be in force can be missing.
 constexpr bool is_current(const knowledge_age& known) {
-    return known.age < known.max;
+    return known.age && *known.age < known.max;
 }
 
 //! Refuses an unknown route or key permanently only by a configuration that is current. With an
--- a/src/serving/tests/admission_tests.cpp
+++ b/src/serving/tests/admission_tests.cpp
@@ -87,6 +87,17 @@
                refusal_reason::unknown_target);
 }
 
+TEST(admission, a_configuration_that_was_never_confirmed_refuses_nothing_for_good) {
+    // GIVEN a configuration that the store hasn't confirmed since the process started
+    const fleet_view view = make_view();
+    const knowledge_age unconfirmed{std::nullopt, 3000ms};
+    // WHEN a request has an unknown key or route, THEN it is refused as not ready
+    CHECK_TRUE(reason_of(admit(view, {"h", "/p/1", "x"}, unconfirmed)) ==
+               refusal_reason::not_ready);
+    CHECK_TRUE(reason_of(admit(view, {"h", "/q/1", "k"}, unconfirmed)) ==
+               refusal_reason::not_ready);
+}
+
 TEST(admission, an_instance_without_a_configuration_refuses_as_not_ready) {
     // GIVEN an empty view
     const fleet_view view;
