Test: the waits from the store to an instance add up to less than the bounds

A fleet of sixty with the bounds of the deployments and tighter ones (configuration and drain of 1,000 ms), without a fault, with a frozen source and with one that the store rejects: no instance misses a change for longer than the tightest bound less 400 ms, the time of a tick and of a slow call.

--- a/src/store_sync/tests/store_sync_tests.cpp
+++ b/src/store_sync/tests/store_sync_tests.cpp
@@ -36,11 +36,13 @@
 
 //! All instances, the messages between them, and the store.
 struct fleet {
-    explicit fleet(std::size_t count) {
+    explicit fleet(std::size_t count, const sync_bounds& in_force_within = {})
+        : bounds(in_force_within) {
         const auto members = make_members(count);
         for (const member& self : members) {
             instance& added = instances[self.address];
             added.state.self = self;
+            added.state.bounds = bounds;
             reduce(added.state, sync_members_changed{members}, now);
             reduce(added.state, topic_listed{topic, store_version, now}, now);
         }
@@ -106,7 +108,8 @@
         }
         const milliseconds age = *topic_age(reader.state, topic, now);
         if (reader.watching_since == instant{}) {
-            const read_timing timing = derive_shared_timing(derive_read_timing(bounds, 2s));
+            const read_timing timing =
+                derive_shared_timing(derive_read_timing(bounds, bounds.configuration));
             reader.wait = reader.is_reading ? derive_next_wait(timing, age) : 0ms;
             reader.is_reading = true;
             reader.watching_since = now;
@@ -245,6 +248,39 @@
     CHECK_TRUE(large.readers.size() <= 4);
 }
 
+// The waits along the chain from the store through a source have to add up to less than the bound.
+TEST(store_sync, a_change_is_in_force_within_the_bounds_of_each_deployment) {
+    // GIVEN bounds of several deployments, also tight ones
+    struct deployment {
+        milliseconds contact;
+        milliseconds configuration;
+        milliseconds draining;
+    };
+
+    for (const deployment& one :
+         {deployment{3s, 2s, 2s}, deployment{4s, 3s, 3s}, deployment{5s, 4s, 4s},
+          deployment{2s, 1s, 2s}, deployment{1500ms, 1s, 1s}, deployment{3s, 2s, 1s}}) {
+        // WHEN nothing fails, the source freezes, or the store rejects it
+        for (const std::string fault : {"none", "frozen", "rejected"}) {
+            fleet large(60, {one.contact, one.configuration, one.draining, 5s});
+            large.run(3s);
+            instance& source = large.first_reader();
+            source.is_frozen = fault == "frozen";
+            source.is_rejected = fault == "rejected";
+            for (int i = 0; i < 25; ++i) {
+                large.write();
+                large.run(220ms);
+            }
+            // THEN no other instance misses a change for longer than the tightest bound, less the
+            // time of a tick and of a slow call
+            const milliseconds bound = std::min(one.configuration, one.draining);
+            const std::string lag = std::to_string(large.max_lag().count());
+            CHECK_TRUE_TEXT(large.max_lag() + 400ms <= bound,
+                            (fault + ", " + std::to_string(bound.count()) + ": " + lag).c_str());
+        }
+    }
+}
+
 TEST(store_sync, an_instance_that_the_store_rejects_is_kept_up_to_date) {
     // GIVEN a fleet of sixty in which the store rejects the calls of an instance with a source
     fleet large(60);
