--- a/src/http_exchange/client_exchange.h
+++ b/src/http_exchange/client_exchange.h
@@ -136,11 +136,14 @@
 struct exchange_reply {  // NOLINT(bugprone-exception-escape)
     exchange_outcome outcome{exchange_outcome::broken};
     http::response<http::string_body> response;  //!< set only if the exchange completed
+    std::size_t body_bytes{0};                   //!< received of the body, complete or not
 };
 
 struct exchange_limits {
     milliseconds time{0};
     std::size_t response_bytes{0};  //!< longest body of a response
+    //! Replaces `time` once the head of the response has arrived, unless its step is 0.
+    progress_limit progress{};
 };
 
 //! Returns whether a response belongs to the request. Others are skipped: a response to an earlier
