--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -14,10 +14,8 @@
 
 //! Time between requests to the source; updates reach this instance up to this much later.
 constexpr milliseconds request_period{400};
-//! Age from which the data of a source is stale; an instance that reads the store has younger data.
 //! While a source is stale, the next one is polled too, and both more often, as a source starts to
 //! read the store only when it is first polled.
-constexpr milliseconds source_stale_after{700};
 constexpr milliseconds stale_request_period{200};
 //! A source that stays stale for longer doesn't read the store, or can't reach it, and is skipped.
 constexpr milliseconds stale_limit{1000};
@@ -35,6 +33,9 @@
 constexpr std::size_t max_pages = 64;
 constexpr std::size_t max_page_bytes = std::size_t{512} * 1024;
 
+//! Difference by which the store's clock may end a wait early.
+constexpr milliseconds clock_tolerance{10};
+
 //! Total size of the kept pages.
 std::size_t page_bytes(const topic_state& topic) {
     std::size_t sum = 0;
@@ -46,7 +47,7 @@
 
 //! Applies a page if it begins at or before the known version and ends after it.
 void apply_page(topic_state& topic, const std::string& name, const change_page& page,
-                sync_effects& out) {
+                bool is_readable, sync_effects& out) {
     if (page.base > topic.version || page.version <= topic.version) {
         return;
     }
@@ -61,10 +62,18 @@
         topic.pages.pop_front();
     }
     if (!page.text.empty()) {
+        topic.is_readable = is_readable;
         out.push_back(page_accepted{name, page});
     }
 }
 
+//! Records that the store had no newer version than the known one.
+void confirm(topic_state& topic, instant at) {
+    if (topic.is_readable) {
+        topic.confirmed_at = std::max(topic.confirmed_at, at);
+    }
+}
+
 //! Ranks the sources after a change of the members; known sources keep their state.
 void update_sources(store_sync& state, const std::vector<member>& members) {
     state.uses_sources = members.size() >= min_fleet_with_sources;
@@ -78,22 +87,31 @@
     state.sources = std::move(ranked);
 }
 
-void apply_list(store_sync& state, const topic_listed& listed, instant now, sync_effects& out) {
+//! Earliest time at which the store can have answered a watch. Changes, or the end of the watch,
+//! may have come at any time since it was sent.
+instant earliest_answer(const topic_watched& watched, instant now) {
+    const bool has_waited =
+        watched.page.text.empty() && now - watched.sent_at + clock_tolerance >= watched.wait;
+    return has_waited ? std::min(now, watched.sent_at + watched.wait) : watched.sent_at;
+}
+
+void apply_list(store_sync& state, const topic_listed& listed, sync_effects& out) {
     topic_state& topic = state.topics[listed.topic];
     topic.is_known = true;
-    topic.confirmed_at = std::max(topic.confirmed_at, now);
     if (listed.version >= topic.version) {
         topic.version = listed.version;
+        topic.is_readable = listed.is_readable;
         topic.pages.clear();
         topic.complete_from = listed.version;
         out.push_back(list_accepted{listed.topic});
     }
+    confirm(topic, listed.sent_at);
 }
 
 void apply_watch(store_sync& state, const topic_watched& watched, instant now, sync_effects& out) {
     topic_state& topic = state.topics[watched.topic];
-    apply_page(topic, watched.topic, watched.page, out);
-    topic.confirmed_at = std::max(topic.confirmed_at, now);
+    apply_page(topic, watched.topic, watched.page, watched.is_readable, out);
+    confirm(topic, earliest_answer(watched, now));
 }
 
 //! Sends a request for updates after the known version of each topic.
@@ -148,7 +166,7 @@
     reply.sequence = request.sequence;
     for (const topic_position& known : request.known) {
         const auto found = state.topics.find(known.name);
-        if (found == state.topics.end() || !found->second.is_known) {
+        if (found == state.topics.end() || found->second.confirmed_at == instant{}) {
             continue;
         }
         const topic_state& topic = found->second;
@@ -172,12 +190,14 @@
     }
     topic_state& topic = found->second;
     for (const change_page& page : update.changes) {
-        apply_page(topic, update.name, page, out);
+        constexpr bool is_readable = true;
+        apply_page(topic, update.name, page, is_readable, out);
     }
     // If changes are missing, the data stays unconfirmed. The topic is then read from the store. A
     // source in an earlier era confirms a history that the store has lost.
-    if (topic.version >= update.version && era_of(topic.version) == era_of(update.version)) {
-        topic.confirmed_at = std::max(topic.confirmed_at, confirmed_at);
+    if (topic.is_readable && topic.version >= update.version &&
+        era_of(topic.version) == era_of(update.version)) {
+        confirm(topic, confirmed_at);
         topic.source_confirmed_at = std::max(topic.source_confirmed_at, confirmed_at);
     }
 }
@@ -220,7 +240,7 @@
 std::optional<milliseconds> topic_age(const store_sync& state, const std::string& topic,
                                       instant now) {
     const auto found = state.topics.find(topic);
-    if (found == state.topics.end() || !found->second.is_known) {
+    if (found == state.topics.end() || found->second.confirmed_at == instant{}) {
         return std::nullopt;
     }
     return now - found->second.confirmed_at;
@@ -255,7 +275,7 @@
     std::visit(
         overloaded{
             [&](const sync_members_changed& changed) { update_sources(state, changed.members); },
-            [&](const topic_listed& listed) { apply_list(state, listed, now, out); },
+            [&](const topic_listed& listed) { apply_list(state, listed, out); },
             [&](const topic_watched& watched) { apply_watch(state, watched, now, out); },
             [&](const sync_requested& requested) {
                 send_reply(state, requested.request, now, out);
