--- a/src/stream_versions/stream_versions.cpp
+++ b/src/stream_versions/stream_versions.cpp
@@ -125,6 +125,12 @@
     return rest;
 }
 
+void add_forgotten_version(pool_versions& versions) {
+    for (auto& [pool, known] : versions) {
+        known.insert({"forgotten"});
+    }
+}
+
 void merge(pool_versions& into, const pool_versions& added) {
     for (const auto& [pool, versions] : added) {
         into[pool].insert(versions.begin(), versions.end());
--- a/src/stream_versions/stream_versions.h
+++ b/src/stream_versions/stream_versions.h
@@ -76,6 +76,10 @@
 //! Versions of `all` that `without` lacks.
 pool_versions difference(const pool_versions& all, const pool_versions& without);
 
+//! Adds a version without upstreams to each pool. It stands for versions that nobody remembers: the
+//! streams of the pool need records until it is removed as absent.
+void add_forgotten_version(pool_versions& versions);
+
 //! Adds the versions of `added`.
 void merge(pool_versions& into, const pool_versions& added);
 
--- a/src/stream_versions/tests/stream_versions_tests.cpp
+++ b/src/stream_versions/tests/stream_versions_tests.cpp
@@ -178,3 +178,18 @@
     // THEN
     CHECK_TRUE(can_begin_streams(view));
 }
+
+TEST(stream_versions, a_pool_with_a_forgotten_version_needs_records_until_it_is_absent) {
+    // GIVEN
+    pool_versions registered{{engines, {v1}}};
+    add_forgotten_version(registered);
+    CHECK_TRUE(needs_records(registered, engines));
+    CHECK_FALSE(find_origin(stored_streams{registered, {}}, stream_key("a"), engines).has_value());
+    // WHEN
+    version_sightings sightings;
+    record_sightings(sightings, registered, {{engines, {v1}}}, start);
+    record_sightings(sightings, registered, {{engines, {v1}}}, start + 10s);
+    // THEN
+    CHECK_TRUE(difference(registered, absent_versions(sightings, registered, 10s, start + 10s)) ==
+               (pool_versions{{engines, {v1}}}));
+}
