--- a/src/store_sync/tests/store_sync_tests.cpp
+++ b/src/store_sync/tests/store_sync_tests.cpp
@@ -482,8 +482,7 @@
     instance& requester = large.any_follower();
     large.run(460ms);  // ends between two requests
     large.write();
-    reduce(reader.state, topic_watched{topic, {5, large.store_version, "changes"}, large.now},
-           large.now);
+    reduce(reader.state, topic_watched{topic, {5, large.store_version, "changes"}}, large.now);
     const instant sent_at = large.now + 500ms;
     const auto requested = reduce(requester.state, sync_tick{}, sent_at);
     const auto& request = std::get<news_request>(std::get<send_to_peer>(requested.at(0)).message);
@@ -506,7 +505,7 @@
     store_sync state;
     const std::string text(700'000, 'x');
     for (const char* const name : {"a", "b", "c"}) {
-        reduce(state, topic_listed{name, 5, start}, start);
+        reduce(state, topic_listed{name, 5, start, true, ""}, start);
         reduce(state, topic_watched{name, {5, 6, text}}, start);
     }
     // WHEN a peer that lacks all of them requests updates
