--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -19,7 +19,8 @@
 constexpr milliseconds stale_request_period{200};
 //! A source that stays stale for longer doesn't read the store, or can't reach it, and is skipped.
 constexpr milliseconds stale_limit{1000};
-//! A source without a reply for this long is skipped; a round trip takes some milliseconds.
+//! A source without a reply for this long is skipped; a round trip takes some milliseconds. A reply
+//! that comes later, since it is long or its link is busy, still counts until the next request.
 constexpr milliseconds reply_timeout{600};
 //! Time between requests that detect the recovery of a skipped source.
 constexpr milliseconds retry_period{2000};
@@ -31,15 +32,21 @@
 constexpr milliseconds probe_period_alone{400};
 //! Number of pages kept for peers with older data; a peer that lacks more reads the store itself.
 constexpr std::size_t max_pages = 64;
-constexpr std::size_t max_page_bytes = std::size_t{512} * 1024;
+//! Holds the longest object of the store.
+constexpr std::size_t max_page_bytes = std::size_t{1200} * 1024;
+
+//! Changes in one reply; leaves room within a peer message. A peer that lacks more of a topic reads
+//! that from the store, instead of getting no reply at all.
+constexpr std::size_t max_reply_bytes = std::size_t{1536} * 1024;
 
 //! Difference by which the store's clock may end a wait early.
 constexpr milliseconds clock_tolerance{10};
 
-//! Total size of the kept pages.
-std::size_t page_bytes(const topic_state& topic) {
+//! Total size of pages.
+template <typename Pages>
+std::size_t text_bytes(const Pages& pages) {
     std::size_t sum = 0;
-    for (const change_page& page : topic.pages) {
+    for (const change_page& page : pages) {
         sum += page.text.size();
     }
     return sum;
@@ -52,12 +59,16 @@
         return;
     }
     topic.version = page.version;
+    if (page.base <= topic.complete_from) {
+        topic.pages.clear();
+        topic.complete_from = page.base;
+    }
     if (page.text.empty() && !topic.pages.empty() && topic.pages.back().text.empty()) {
         topic.pages.back().version = page.version;
         return;
     }
     topic.pages.push_back(page);
-    while (topic.pages.size() > max_pages || page_bytes(topic) > max_page_bytes) {
+    while (topic.pages.size() > max_pages || text_bytes(topic.pages) > max_page_bytes) {
         topic.complete_from = topic.pages.front().version;
         topic.pages.pop_front();
     }
@@ -103,6 +114,10 @@
         topic.is_readable = listed.is_readable;
         topic.pages.clear();
         topic.complete_from = listed.version;
+        if (!listed.text.empty() && listed.text.size() <= max_page_bytes) {
+            topic.complete_from = first_version(listed.version);
+            topic.pages.push_back({topic.complete_from, listed.version, listed.text});
+        }
         out.push_back(list_accepted{listed.topic});
     }
     confirm(topic, listed.sent_at);
@@ -142,8 +157,8 @@
     bool has_fresh = false;  // an active source with fresh data was found
     for (source_state& source : state.sources) {
         const milliseconds time_since_request = now - source.request_sent_at;
-        if (source.open_sequence != 0 && time_since_request >= reply_timeout) {
-            source.open_sequence = 0;
+        const bool is_overdue = source.open_sequence != 0 && time_since_request >= reply_timeout;
+        if (is_overdue) {
             set_status(source, source_status::unresponsive, time_since_request, out);
         }
         const bool is_active = !source.is_skipped && !has_fresh;
@@ -153,7 +168,7 @@
         const bool is_due =
             time_since_request >= (source.is_skipped ? retry_period : usual_period) &&
             (is_active || source.is_skipped);
-        if (source.open_sequence == 0 && is_due) {
+        if ((source.open_sequence == 0 || is_overdue) && is_due) {
             send_request(state, source, now, out);
         }
     }
@@ -164,6 +179,7 @@
     state.last_peer_request_at = now;
     news_reply reply;
     reply.sequence = request.sequence;
+    std::size_t reply_bytes = 0;
     for (const topic_position& known : request.known) {
         const auto found = state.topics.find(known.name);
         if (found == state.topics.end() || found->second.confirmed_at == instant{}) {
@@ -176,6 +192,12 @@
                 topic.pages, std::back_inserter(update.changes),
                 [&](const change_page& page) { return page.version > known.version; });
         }
+        const std::size_t bytes = text_bytes(update.changes);
+        if (reply_bytes + bytes > max_reply_bytes) {
+            update.changes.clear();
+        } else {
+            reply_bytes += bytes;
+        }
         reply.topics.push_back(std::move(update));
     }
     out.push_back(send_to_peer{request.from, std::move(reply)});
--- a/src/store_sync/tests/store_sync_tests.cpp
+++ b/src/store_sync/tests/store_sync_tests.cpp
@@ -1,4 +1,5 @@
 //! Tests of the store sync with a simulated fleet, one store and a fake clock.
+#include "codec/codec.h"
 #include "store_sync/internal/sources.h"
 #include "store_sync/store_sync.h"
 
@@ -432,6 +433,94 @@
     CHECK_TRUE(reply.topics.at(0).changes.at(0).text.empty());
 }
 
+// Guards against a peer that asks for all versions since its own: each of them is the whole state,
+// and the page with all of them takes longer than they are apart.
+TEST(store_sync, a_page_with_the_whole_state_is_all_that_a_peer_receives) {
+    // GIVEN a reader that has read a topic as a list, and then three pages with its whole state
+    store_sync state;
+    reduce(state, topic_listed{topic, 50, start, true, "list"}, start);
+    for (object_version version = 50; version < 53; ++version) {
+        reduce(state, topic_watched{topic, {0, version + 1, "state"}}, start);
+    }
+    // WHEN a peer that knows a much earlier version requests updates
+    news_request request;
+    request.sequence = 1;
+    request.known = {{topic, 5}};
+    const news_reply reply = reply_in(reduce(state, sync_requested{request}, start));
+    // THEN it receives the last page
+    LONGS_EQUAL(1, reply.topics.at(0).changes.size());
+    LONGS_EQUAL(53, reply.topics.at(0).changes.at(0).version);
+    // AND applies it
+    store_sync peer;
+    reduce(peer, topic_listed{topic, 5}, start);
+    LONGS_EQUAL(1,
+                reduce(peer, topic_watched{topic, reply.topics.at(0).changes.at(0)}, start).size());
+    LONGS_EQUAL(53, peer.topics.at(topic).version);
+}
+
+TEST(store_sync, a_list_with_the_whole_state_is_forwarded) {
+    // GIVEN a reader that has read nothing but a list with the whole state
+    store_sync state;
+    reduce(state, topic_listed{topic, 50, start, true, "list"}, start);
+    // WHEN a peer that knows an earlier version requests updates
+    news_request request;
+    request.sequence = 1;
+    request.known = {{topic, 5}};
+    const news_reply reply = reply_in(reduce(state, sync_requested{request}, start));
+    // THEN it receives the list
+    LONGS_EQUAL(1, reply.topics.at(0).changes.size());
+    STRCMP_EQUAL("list", reply.topics.at(0).changes.at(0).text.c_str());
+}
+
+// Guards against a reply that is dropped for being late: a long one on a narrow link always is, and
+// so is the next one, which is longer.
+TEST(store_sync, a_reply_after_its_time_limit_is_used_until_the_next_request) {
+    // GIVEN an instance whose request to its source has gone unanswered for 0.8 s
+    fleet large(60);
+    large.run(3s);
+    instance& reader = large.first_reader();
+    instance& requester = large.any_follower();
+    large.run(460ms);  // ends between two requests
+    large.write();
+    reduce(reader.state, topic_watched{topic, {5, large.store_version, "changes"}}, large.now);
+    const instant sent_at = large.now + 500ms;
+    const auto requested = reduce(requester.state, sync_tick{}, sent_at);
+    const auto& request = std::get<news_request>(std::get<send_to_peer>(requested.at(0)).message);
+    const auto replied = reduce(reader.state, sync_requested{request}, sent_at);
+    for (const milliseconds time : {200ms, 400ms, 600ms, 800ms}) {
+        reduce(requester.state, sync_tick{}, sent_at + time);
+    }
+    // WHEN the reply arrives
+    const auto effects = reduce(requester.state, sync_replied{reply_in(replied)}, sent_at + 900ms);
+    // THEN its changes are applied, and confirmed as of the request
+    LONGS_EQUAL(large.store_version, requester.state.topics.at(topic).version);
+    const auto age = topic_age(requester.state, topic, sent_at + 900ms);
+    CHECK_TRUE(age && *age >= 900ms && *age < 1500ms);
+}
+
+// Guards against a reply beyond the limit on messages, which is dropped: the source would look
+// silent, and the next reply is longer.
+TEST(store_sync, a_reply_leaves_out_what_does_not_fit_into_a_message) {
+    // GIVEN a reader with long changes of three topics
+    store_sync state;
+    const std::string text(700'000, 'x');
+    for (const char* const name : {"a", "b", "c"}) {
+        reduce(state, topic_listed{name, 5, start, true, ""}, start);
+        reduce(state, topic_watched{name, {5, 6, text}}, start);
+    }
+    // WHEN a peer that lacks all of them requests updates
+    news_request request;
+    request.sequence = 1;
+    request.known = {{"a", 5}, {"b", 5}, {"c", 5}};
+    const news_reply reply = reply_in(reduce(state, sync_requested{request}, start));
+    // THEN the reply fits into a message, and names the version of the topic that it leaves out
+    CHECK_TRUE(encode_message(reply).size() <= max_message_bytes);
+    LONGS_EQUAL(1, reply.topics.at(0).changes.size());
+    LONGS_EQUAL(1, reply.topics.at(1).changes.size());
+    LONGS_EQUAL(0, reply.topics.at(2).changes.size());
+    LONGS_EQUAL(6, reply.topics.at(2).version);
+}
+
 TEST(store_sync, a_very_large_fleet_has_a_reader_in_each_zone) {
     // GIVEN 640 instances in three zones
     const auto members = make_members(640);
