--- a/src/http_exchange/tests/client_exchange_tests.cpp
+++ b/src/http_exchange/tests/client_exchange_tests.cpp
@@ -152,13 +152,13 @@
         milliseconds latest_end;
     };
 
-    const progress_case cases[] = {
+    const progress_case progress_cases[] = {
         {"slower than the first limit", 0ms, 40ms, 20, exchange_outcome::completed, 1400ms},
         {"stops midway", 0ms, 40ms, 5, exchange_outcome::timed_out, 1000ms},
         {"longer than the total limit", 0ms, 100ms, 20, exchange_outcome::timed_out, 1900ms},
         {"no head", 1000ms, 0ms, 20, exchange_outcome::timed_out, 500ms},
     };
-    for (const progress_case& one : cases) {
+    for (const progress_case& one : progress_cases) {
         // GIVEN a server that responds in parts
         early_server server([&](const std::string& /*head*/, const early_connection& on) {
             std::this_thread::sleep_for(one.head_delay);
--- a/src/stream_versions/stream_versions.cpp
+++ b/src/stream_versions/stream_versions.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -159,18 +160,21 @@
     pool_versions absent;
     for (const auto& [pool, versions] : registered) {
         std::set<software_version> candidates;
+        std::optional<std::pair<instant, software_version>> latest;
         for (const software_version& version : versions) {
             const auto seen = sightings.last_seen.find({pool, version});
-            if (seen != sightings.last_seen.end() && now - seen->second >= absence) {
+            if (seen == sightings.last_seen.end()) {
+                continue;
+            }
+            if (!latest || seen->second > latest->first) {
+                latest = {seen->second, version};
+            }
+            if (now - seen->second >= absence) {
                 candidates.insert(version);
             }
         }
-        if (candidates.size() == versions.size()) {
-            const auto latest =
-                std::ranges::max_element(candidates, {}, [&](const software_version& version) {
-                    return sightings.last_seen.at({pool, version});
-                });
-            candidates.erase(latest);
+        if (latest && candidates.size() == versions.size()) {
+            candidates.erase(latest->second);
         }
         if (!candidates.empty()) {
             absent[pool] = std::move(candidates);
