--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -32,7 +32,8 @@
 constexpr milliseconds probe_period_alone{400};
 //! Number of pages kept for peers with older data; a peer that lacks more reads the store itself.
 constexpr std::size_t max_pages = 64;
-//! Holds the longest object of the store.
+//! Limit on the total size of a topic's kept pages; has room for an object of the store's largest
+//! size.
 constexpr std::size_t max_page_bytes = std::size_t{1200} * 1024;
 
 //! Changes in one reply; leaves room within a peer message. A peer that lacks more of a topic reads
