--- a/src/stream_versions/stream_versions.cpp
+++ b/src/stream_versions/stream_versions.cpp
@@ -126,9 +126,19 @@
     return rest;
 }
 
-void add_forgotten_version(pool_versions& versions) {
-    for (auto& [pool, known] : versions) {
-        known.insert({"forgotten"});
+pool_versions active_versions(const version_register& registered) {
+    return difference(registered.versions, registered.retired);
+}
+
+pool_versions intersection(const pool_versions& one, const pool_versions& other) {
+    return difference(one, difference(one, other));
+}
+
+void add_forgotten_version(version_register& registered) {
+    const software_version forgotten{"forgotten"};
+    for (auto& [pool, known] : registered.versions) {
+        known.insert(forgotten);
+        registered.retired[pool].insert(forgotten);
     }
 }
 
@@ -155,10 +165,27 @@
     sightings.last_seen = std::move(last_seen);
 }
 
-pool_versions absent_versions(const version_sightings& sightings, const pool_versions& registered,
-                              milliseconds absence, instant now) {
+void apply_obsolete(version_register& registered, const obsolete_versions& obsolete) {
+    const pool_versions removed = intersection(obsolete.to_remove, registered.retired);
+    const pool_versions retired = intersection(obsolete.to_retire, active_versions(registered));
+    registered.versions = difference(registered.versions, removed);
+    registered.retired = difference(registered.retired, removed);
+    merge(registered.retired, retired);
+}
+
+void record_retirement(version_sightings& sightings, const pool_versions& retired, instant now) {
+    for (const auto& [pool, versions] : retired) {
+        for (const software_version& version : versions) {
+            sightings.last_seen[{pool, version}] = now;
+        }
+    }
+}
+
+pool_versions versions_to_retire(const version_sightings& sightings,
+                                 const version_register& registered, milliseconds absence,
+                                 instant now) {
     pool_versions absent;
-    for (const auto& [pool, versions] : registered) {
+    for (const auto& [pool, versions] : active_versions(registered)) {
         std::set<software_version> candidates;
         std::optional<std::pair<instant, software_version>> latest;
         for (const software_version& version : versions) {
@@ -183,4 +210,19 @@
     return absent;
 }
 
+pool_versions versions_to_remove(const version_sightings& sightings,
+                                 const version_register& registered, milliseconds absence,
+                                 instant now) {
+    pool_versions removable;
+    for (const auto& [pool, versions] : registered.retired) {
+        for (const software_version& version : versions) {
+            const auto seen = sightings.last_seen.find({pool, version});
+            if (seen != sightings.last_seen.end() && now - seen->second >= absence) {
+                removable[pool].insert(version);
+            }
+        }
+    }
+    return removable;
+}
+
 }  // namespace cyclamenmount
--- a/src/stream_versions/stream_versions.h
+++ b/src/stream_versions/stream_versions.h
@@ -3,9 +3,10 @@
 //! Upstreams of several software versions may serve one pool side by side, and what two versions
 //! write doesn't fit together. Two kinds of data in the store tell every instance, also one that
 //! has just started, where a stream began:
-//! - the versions of each pool that may begin resumable streams. A version is registered before it
-//!   begins the first one and stays until none of its streams can still be taken up. While a pool
-//!   has one version, a stream needs no record.
+//! - the versions of each pool whose resumable streams may be taken up. A version is registered
+//!   before it begins the first one and stays until none of its streams can still be taken up.
+//!   Before it is removed it is retired: it begins no stream until it is registered again. While a
+//!   pool has one version, a stream needs no record.
 //! - records of the streams of pools with several versions, written by the instances that began
 //!   them. A stream without a record isn't taken up then.
 //!
@@ -47,6 +48,17 @@
 //! Origin of a stream that this instance has recorded; none if it hasn't.
 std::optional<stream_origin> find_origin(const stream_records& records, std::string_view key);
 
+//! The versions that are registered.
+struct version_register {
+    pool_versions versions;  //!< all, also those that are retired
+    pool_versions retired;
+
+    bool operator==(const version_register&) const = default;
+};
+
+//! Registered versions that may begin streams.
+pool_versions active_versions(const version_register& registered);
+
 //! What the store holds of versions and streams.
 struct stored_streams {
     pool_versions versions;                        //!< registered versions
@@ -76,14 +88,17 @@
 //! Versions of `all` that `without` lacks.
 pool_versions difference(const pool_versions& all, const pool_versions& without);
 
-//! Adds a version without upstreams to each pool. It stands for versions that nobody remembers: the
-//! streams of the pool need records until it is removed as absent.
-void add_forgotten_version(pool_versions& versions);
+//! Versions that are in both.
+pool_versions intersection(const pool_versions& one, const pool_versions& other);
+
+//! Adds a retired version without upstreams to each pool. It stands for versions that nobody
+//! remembers: the streams of the pool need records until it is removed as absent.
+void add_forgotten_version(version_register& registered);
 
 //! Adds the versions of `added`.
 void merge(pool_versions& into, const pool_versions& added);
 
-//! When the last upstream of a registered version was seen.
+//! When the last upstream of a registered version was seen, or the version was found retired.
 struct version_sightings {
     std::map<stream_origin, instant> last_seen;
 };
@@ -92,8 +107,29 @@
 void record_sightings(version_sightings& sightings, const pool_versions& registered,
                       const pool_versions& present, instant now);
 
-//! Registered versions without an upstream for at least `absence`. The version seen last is kept.
-pool_versions absent_versions(const version_sightings& sightings, const pool_versions& registered,
-                              milliseconds absence, instant now);
+//! Versions whose entries in the store are to be changed.
+struct obsolete_versions {
+    pool_versions to_retire;
+    pool_versions to_remove;
+};
+
+//! Retires and removes versions. What another instance has registered again meanwhile stays.
+void apply_obsolete(version_register& registered, const obsolete_versions& obsolete);
+
+//! Notes that versions were found retired: their absence counts from then on.
+void record_retirement(version_sightings& sightings, const pool_versions& retired, instant now);
+
+//! Active versions without an upstream for at least `absence`. Of each pool the version seen last
+//! is kept.
+pool_versions versions_to_retire(const version_sightings& sightings,
+                                 const version_register& registered, milliseconds absence,
+                                 instant now);
+
+//! Retired versions that have been so, and without an upstream, for at least `absence`. All
+//! instances have learned within that time that they begin no streams, so none relies on them, also
+//! where the removal is carried out late.
+pool_versions versions_to_remove(const version_sightings& sightings,
+                                 const version_register& registered, milliseconds absence,
+                                 instant now);
 
 }  // namespace cyclamenmount
--- a/src/stream_versions/tests/stream_versions_tests.cpp
+++ b/src/stream_versions/tests/stream_versions_tests.cpp
@@ -116,30 +116,61 @@
     CHECK_TRUE(take_up_time(config) < 60s);
 }
 
-TEST(stream_versions, a_version_is_absent_only_after_its_upstreams_were_gone_for_long) {
+TEST(stream_versions, a_version_is_retired_only_after_its_upstreams_were_gone_for_long) {
     // GIVEN a process that has just started: v1 may have left a moment ago
-    const pool_versions registered{{engines, {v1, v2}}};
+    const version_register registered{{{engines, {v1, v2}}}, {}};
     version_sightings sightings;
-    record_sightings(sightings, registered, {{engines, {v2}}}, start);
-    CHECK_TRUE(absent_versions(sightings, registered, 10s, start + 9s).empty());
+    record_sightings(sightings, registered.versions, {{engines, {v2}}}, start);
+    CHECK_TRUE(versions_to_retire(sightings, registered, 10s, start + 9s).empty());
     // WHEN
-    record_sightings(sightings, registered, {{engines, {v2}}}, start + 10s);
+    record_sightings(sightings, registered.versions, {{engines, {v2}}}, start + 10s);
     // THEN
-    CHECK_TRUE(absent_versions(sightings, registered, 10s, start + 10s) ==
+    CHECK_TRUE(versions_to_retire(sightings, registered, 10s, start + 10s) ==
                (pool_versions{{engines, {v1}}}));
+    // AND none is removed before it was retired
+    CHECK_TRUE(versions_to_remove(sightings, registered, 10s, start + 60s).empty());
     // AND a version that is back stays
-    record_sightings(sightings, registered, {{engines, {v1, v2}}}, start + 11s);
-    CHECK_TRUE(absent_versions(sightings, registered, 10s, start + 12s).empty());
+    record_sightings(sightings, registered.versions, {{engines, {v1, v2}}}, start + 11s);
+    CHECK_TRUE(versions_to_retire(sightings, registered, 10s, start + 12s).empty());
 }
 
-TEST(stream_versions, the_last_version_of_a_pool_is_never_absent) {
+TEST(stream_versions, a_retired_version_is_removed_only_after_all_instances_have_learned_of_it) {
+    // GIVEN a version whose upstreams were gone for long before it was found retired
+    const version_register registered{{{engines, {v1, v2}}}, {{engines, {v1}}}};
+    const pool_versions present{{engines, {v2}}};
+    version_sightings sightings;
+    record_sightings(sightings, registered.versions, present, start);
+    record_retirement(sightings, registered.retired, start + 60s);
+    // THEN it is kept for as long again
+    CHECK_TRUE(versions_to_remove(sightings, registered, 10s, start + 69s).empty());
+    CHECK_TRUE(versions_to_remove(sightings, registered, 10s, start + 70s) == registered.retired);
+    // AND one that is back meanwhile stays
+    record_sightings(sightings, registered.versions, registered.versions, start + 69s);
+    CHECK_TRUE(versions_to_remove(sightings, registered, 10s, start + 70s).empty());
+}
+
+TEST(stream_versions, a_version_that_was_registered_again_is_not_removed) {
+    // GIVEN versions that an instance takes for absent or retired
+    const obsolete_versions obsolete{{{engines, {v2}}}, {{engines, {v1}}}};
+    // WHEN another instance has registered the retired one again
+    version_register registered{{{engines, {v1, v2}}}, {}};
+    apply_obsolete(registered, obsolete);
+    // THEN it stays, and the absent one is retired first
+    CHECK_TRUE(registered == (version_register{{{engines, {v1, v2}}}, {{engines, {v2}}}}));
+    CHECK_TRUE(active_versions(registered) == (pool_versions{{engines, {v1}}}));
+    // AND a retired one is removed
+    apply_obsolete(registered, {{}, {{engines, {v2}}}});
+    CHECK_TRUE(registered == (version_register{{{engines, {v1}}}, {}}));
+}
+
+TEST(stream_versions, the_last_active_version_of_a_pool_is_never_retired) {
     // GIVEN
-    const pool_versions registered{{engines, {v1}}};
+    const version_register registered{{{engines, {v1, v2}}}, {{engines, {v2}}}};
     version_sightings sightings;
     // WHEN
-    record_sightings(sightings, registered, {}, start);
+    record_sightings(sightings, registered.versions, {}, start);
     // THEN
-    CHECK_TRUE(absent_versions(sightings, registered, 10s, start + 60s).empty());
+    CHECK_TRUE(versions_to_retire(sightings, registered, 10s, start + 60s).empty());
 }
 
 TEST(stream_versions, versions_are_merged_and_subtracted_by_pool) {
@@ -181,15 +212,19 @@
 
 TEST(stream_versions, a_pool_with_a_forgotten_version_needs_records_until_it_is_absent) {
     // GIVEN
-    pool_versions registered{{engines, {v1}}};
+    version_register registered{{{engines, {v1}}}, {}};
     add_forgotten_version(registered);
-    CHECK_TRUE(needs_records(registered, engines));
-    CHECK_FALSE(find_origin(stored_streams{registered, {}}, stream_key("a"), engines).has_value());
+    CHECK_TRUE(needs_records(registered.versions, engines));
+    CHECK_FALSE(
+        find_origin(stored_streams{registered.versions, {}}, stream_key("a"), engines).has_value());
+    // AND it begins none
+    CHECK_TRUE(active_versions(registered) == (pool_versions{{engines, {v1}}}));
     // WHEN
     version_sightings sightings;
-    record_sightings(sightings, registered, {{engines, {v1}}}, start);
-    record_sightings(sightings, registered, {{engines, {v1}}}, start + 10s);
+    record_sightings(sightings, registered.versions, {{engines, {v1}}}, start);
+    record_sightings(sightings, registered.versions, {{engines, {v1}}}, start + 10s);
     // THEN
-    CHECK_TRUE(difference(registered, absent_versions(sightings, registered, 10s, start + 10s)) ==
+    CHECK_TRUE(difference(registered.versions,
+                          versions_to_remove(sightings, registered, 10s, start + 10s)) ==
                (pool_versions{{engines, {v1}}}));
 }
