--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -48,7 +48,9 @@
                                                             "news_request",
                                                             "news_reply",
                                                             "pieces_withdraw",
-                                                            "upstream_limit_notice"};
+                                                            "upstream_limit_notice",
+                                                            "origins_request",
+                                                            "origins_reply"};
 
 //! SAX handler that rejects inputs nested too deeply, before the JSON library's recursive parser
 //! could overflow the stack on them. Stores no values.
--- a/src/codec/field_names.cpp
+++ b/src/codec/field_names.cpp
@@ -10,7 +10,7 @@
 
 //! The index of a name determines its one-byte wire form: append new names at the end, and never
 //! remove or reorder any.
-constexpr std::array<std::string_view, 89> field_names = {"kind",
+constexpr std::array<std::string_view, 90> field_names = {"kind",
                                                           "from",
                                                           "sequence",
                                                           "versions",
@@ -98,7 +98,8 @@
                                                           "memory_waits",
                                                           "drained_in",
                                                           "limited",
-                                                          "crash_key"};
+                                                          "crash_key",
+                                                          "streams"};
 
 constexpr char first_short_name = '!';
 constexpr char last_printable = '~';
--- a/src/codec/internal/json_messages.h
+++ b/src/codec/internal/json_messages.h
@@ -83,6 +83,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_page, base, version, text)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(topic_update, name, version, age, changes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(news_reply, sequence, topics)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(origins_request, from, sequence, streams)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(recorded_stream, key, pool, version)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(origins_reply, sequence, streams)
 
 void to_json(nlohmann::json& out, const peer_message& message);
 void from_json(const nlohmann::json& in, peer_message& message);
--- a/src/codec/tests/codec_tests.cpp
+++ b/src/codec/tests/codec_tests.cpp
@@ -39,6 +39,8 @@
     samples.push_back(news_request{a, 7, {{"t", 5}}});
     samples.push_back(news_reply{7, {{"t", 9, 20ms, {{5, 9, "{}"}}}}});
     samples.push_back(upstream_limit_notice{{"u"}, 1'700'000'000'000, true, 1.2});
+    samples.push_back(origins_request{a, 7, {"0123456789ab"}});
+    samples.push_back(origins_reply{7, {{"0123456789ab", {"p"}, {"v1"}}}});
     samples.push_back(suspects_notice{{{{"f"}, {"i1", "i2"}, true}}});
     return samples;
 }
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -399,6 +399,27 @@
     std::vector<topic_update> topics;
 };
 
+// --- origins of streams -------------------------------------------------------------------------
+
+//! Asks for the origins of streams that the receiver began or took up.
+struct origins_request {
+    member from;
+    std::uint64_t sequence{0};         //!< number of this request; the reply repeats it
+    std::vector<std::string> streams;  //!< keys
+};
+
+//! A stream that the sender of a reply began or took up.
+struct recorded_stream {
+    std::string key;
+    pool_name pool;
+    software_version version;
+};
+
+struct origins_reply {
+    std::uint64_t sequence{0};             //!< copied from the request
+    std::vector<recorded_stream> streams;  //!< those of the request that the sender has recorded
+};
+
 using peer_message =
     std::variant<ping, pong, roster_notice, document_request, document_notice, emergency_notice,
                  cold_notice, report_notice, slot_request, slot_reply, slot_release,
@@ -406,6 +427,7 @@
                  permit_request, permit_reply, permit_return, permit_outcome, claim_request,
                  claim_reply, claim_progress, claim_end, suspects_notice, trial_request,
                  trial_reply, trial_end, pieces_request, pieces_cancel, pieces_release,
-                 pieces_reply, news_request, news_reply, pieces_withdraw, upstream_limit_notice>;
+                 pieces_reply, news_request, news_reply, pieces_withdraw, upstream_limit_notice,
+                 origins_request, origins_reply>;
 
 }  // namespace cyclamenmount
