--- a/src/coordination/roster/reduce.cpp
+++ b/src/coordination/roster/reduce.cpp
@@ -2,6 +2,7 @@
 #include "coordination/roster/internal/liveness.h"
 #include "coordination/roster/internal/membership.h"
 #include "types/overloaded.h"
+#include "types/store_limits.h"
 
 namespace cyclamenmount {
 
@@ -30,7 +31,8 @@
 //! Requests the instance list when it is due and no earlier request is in flight.
 void request_list(roster_state& state, const environment& env, instant now, effects& out) {
     const bool overdue =
-        state.list_requested_at && now - *state.list_requested_at > 2 * env.timing.store_timeout;
+        state.list_requested_at &&
+        now - *state.list_requested_at > 2 * env.timing.store_timeout + longest_list_response;
     if (now < state.next_list_read || (state.list_requested_at && !overdue)) {
         return;
     }
--- a/src/coordination/roster/tests/roster_tests.cpp
+++ b/src/coordination/roster/tests/roster_tests.cpp
@@ -1,6 +1,9 @@
 //! Bootstrapping, joining, leaving, ownership of keys and tenure.
 #include "coordination/roster/internal/roster_object.h"
 #include "coordination/roster/tests/fleet.h"
+#include "types/store_limits.h"
+
+#include <algorithm>
 
 #include <CppUTest/TestHarness.h>
 
@@ -219,3 +222,27 @@
         CHECK_FALSE(ranked_owner(state, key, 3).has_value());
     }
 }
+
+// Guards against a list that is asked for again while it arrives: the copies share the slow link.
+TEST(roster, a_list_that_arrives_slowly_is_not_asked_for_again) {
+    // GIVEN an instance that has asked for the instance list
+    environment env;
+    instant now{milliseconds(1'000'000)};
+    roster_state state = make_roster(env, now);
+    const auto lists_wanted = [&](milliseconds time) {
+        std::ptrdiff_t count = 0;
+        for (const instant end = now + time; now < end; now += env.timing.tick) {
+            effects out;
+            reduce_roster(state, env, tick{}, now, out);
+            count += std::ranges::count_if(out, [](const effect& each) {
+                return std::holds_alternative<list_instances>(each);
+            });
+        }
+        return count;
+    };
+    LONGS_EQUAL(1, lists_wanted(env.timing.tick));
+    // WHEN the list takes as long as its client allows THEN it isn't asked for again
+    LONGS_EQUAL(0, lists_wanted(env.timing.store_timeout + longest_list_response));
+    // AND it is asked for again if its client never reports
+    LONGS_EQUAL(1, lists_wanted(2 * env.timing.store_timeout));
+}
--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -3,6 +3,7 @@
 
 #include "http_exchange/async.h"
 #include "types/errors.h"
+#include "types/progress_limit.h"
 
 #include <map>
 #include <memory>
@@ -61,13 +62,6 @@
     cancel  //!< cancels its pending operation; the connection can still send
 };
 
-//! Limit on a message that has begun to arrive. It lasts for as long as bytes arrive, so that a
-//! long message on a narrow link isn't given up.
-struct progress_limit {
-    milliseconds step{0};   //!< time in which at least one byte has to arrive; 0: no such limit
-    milliseconds total{0};  //!< limit on the whole message
-};
-
 //! Ends the use of a connection when the limit has passed; destroying this object cancels the
 //! limit.
 class time_limit {
--- a/src/http_loop/http_loop.cpp
+++ b/src/http_loop/http_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "http_loop/internal/transfer.h"
 
+#include <algorithm>
 #include <mutex>
 #include <thread>
 
@@ -11,7 +12,7 @@
 
 namespace {
 
-constexpr int max_poll_ms = 1000;
+constexpr milliseconds max_poll{1000};
 constexpr milliseconds failure_pause{100};  //!< pause after an unexpected exception of the loop
 
 struct multi_deleter {
@@ -61,6 +62,8 @@
     void start(owned_transfer& pending);
     bool run_once();
     void complete_finished();
+    void complete(CURL* easy, CURLcode code);
+    milliseconds end_overdue(instant now);
     void abort_all();
 };
 
@@ -104,12 +107,35 @@
         if (message->msg != CURLMSG_DONE) {
             continue;
         }
-        CURL* easy = message->easy_handle;
-        const CURLcode code = message->data.result;
-        const owned_transfer ended = std::move(running.extract(easy).mapped());
-        curl_multi_remove_handle(multi.get(), easy);
-        finish(*ended, detail::outcome_of(*ended, code));
+        complete(message->easy_handle, message->data.result);
+    }
+}
+
+void http_loop::impl::complete(CURL* easy, CURLcode code) {
+    const owned_transfer ended = std::move(running.extract(easy).mapped());
+    curl_multi_remove_handle(multi.get(), easy);
+    finish(*ended, detail::outcome_of(*ended, code));
+}
+
+//! Ends the transfers that are overdue by their limit on progress; returns the time until the next
+//! look.
+milliseconds http_loop::impl::end_overdue(instant now) {
+    milliseconds pause = max_poll;
+    std::vector<CURL*> overdue;
+    for (const auto& [easy, transfer] : running) {
+        if (!detail::has_progress_limit(*transfer)) {
+            continue;
+        }
+        if (detail::is_overdue(*transfer, now)) {
+            overdue.push_back(easy);
+        } else {
+            pause = std::min(pause, transfer->next_look - now);
+        }
+    }
+    for (CURL* easy : overdue) {
+        complete(easy, CURLE_OPERATION_TIMEDOUT);
     }
+    return pause;
 }
 
 void http_loop::impl::abort_all() {
@@ -129,7 +155,8 @@
     int active = 0;
     curl_multi_perform(multi.get(), &active);
     complete_finished();
-    curl_multi_poll(multi.get(), nullptr, 0, max_poll_ms, nullptr);
+    const milliseconds pause = end_overdue(boot_clock::now());
+    curl_multi_poll(multi.get(), nullptr, 0, static_cast<int>(pause.count()), nullptr);
     return true;
 }
 
--- a/src/http_loop/http_loop.h
+++ b/src/http_loop/http_loop.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "types/errors.h"
+#include "types/progress_limit.h"
 
 #include <functional>
 #include <map>
@@ -22,6 +23,8 @@
     std::string body;
     //! Limit of the whole exchange; on timeout the connection is closed.
     milliseconds timeout{1500};
+    //! Replaces `timeout` once the head of the response has arrived, unless its step is 0.
+    progress_limit progress{};
 };
 
 struct http_response {
--- a/src/http_loop/tests/http_loop_tests.cpp
+++ b/src/http_loop/tests/http_loop_tests.cpp
@@ -186,6 +186,61 @@
     LONGS_EQUAL(count, given.results.wait_for(count).size());
 }
 
+// Guards against a limit on a response that depends neither on its size nor on its progress.
+TEST(http_loop_faults, a_response_in_progress_is_given_up_only_when_it_stops_or_takes_too_long) {
+    constexpr milliseconds head_limit{300};
+    constexpr progress_limit progress{milliseconds(200), milliseconds(1500)};
+
+    struct row {
+        const char* name;
+        milliseconds head_delay;
+        milliseconds pause;  //!< between two parts of the body
+        int parts;           //!< of 20 that make the body whole
+        bool is_whole;
+        milliseconds latest_end;
+    };
+
+    const row rows[] = {{"slower than the first limit", 0ms, 40ms, 20, true, 1400ms},
+                        {"stops midway", 0ms, 40ms, 5, false, 1000ms},
+                        {"longer than the total limit", 0ms, 100ms, 20, false, 1900ms},
+                        {"no head", 1000ms, 0ms, 20, false, 500ms}};
+    for (const row& expected : rows) {
+        // GIVEN a server that responds in parts
+        const auto server =
+            std::move(http_server::start({"127.0.0.1:0", 4}, [&](exchange& current) {
+                          std::this_thread::sleep_for(expected.head_delay);
+                          current.begin_stream(200, {});
+                          for (int part = 0; part < expected.parts; ++part) {
+                              std::this_thread::sleep_for(expected.pause);
+                              current.write_chunk("x");
+                          }
+                          if (expected.parts == 20) {
+                              current.end_stream();
+                              return;
+                          }
+                          while (!current.peer_gone()) {
+                              std::this_thread::sleep_for(10ms);
+                          }
+                      }).value());
+        fixture given;
+        // WHEN a request with a limit on progress is submitted
+        const instant submitted_at = boot_clock::now();
+        given.loop->submit(
+            {"GET", "http://" + server->address() + "/x", {}, "", head_limit, progress},
+            [&](result<http_response> outcome) { given.results.add(std::move(outcome)); });
+        const auto received = given.results.wait_for(1);
+        // THEN it ends as soon as the response is complete, stops, or has taken too long
+        CHECK_TEXT(boot_clock::now() - submitted_at < expected.latest_end, expected.name);
+        LONGS_EQUAL_TEXT(1, received.size(), expected.name);
+        CHECK_EQUAL_TEXT(expected.is_whole, received[0].has_value(), expected.name);
+        if (expected.is_whole) {
+            LONGS_EQUAL_TEXT(20, received[0].value().body.size(), expected.name);
+        } else {
+            CHECK_TEXT(received[0].error().kind == error_kind::timeout, expected.name);
+        }
+    }
+}
+
 // Guards against a process that ends because the receiver of one response throws.
 TEST(http_loop_faults, an_exception_of_a_callback_does_not_end_the_loop) {
     // GIVEN a request that is answered, and one to a closed port, whose callbacks throw
--- a/src/http_loop/transfer.cpp
+++ b/src/http_loop/transfer.cpp
@@ -44,7 +44,23 @@
     }
 }
 
+//! From now on the transfer is given up only for lack of progress, or after the new total.
+void follow_progress(transfer& current, instant now) {
+    current.latest_end = now + current.request.progress.total;
+    current.next_look = std::min(now + current.request.progress.step, *current.latest_end);
+    current.received_bytes_before = current.received_bytes;
+}
+
+//! Whether the head of the final response is complete, given one of its lines.
+bool completes_head(const transfer& current, std::string_view line) {
+    constexpr long first_final_status = 200;
+    long status = 0;
+    curl_easy_getinfo(current.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    return trimmed(line).empty() && status >= first_final_status;
+}
+
 std::size_t receive_body(transfer& current, const char* data, std::size_t count) {
+    current.received_bytes += count;
     if (current.response.body.size() + count > max_body_bytes) {
         return 0;
     }
@@ -54,6 +70,10 @@
 
 std::size_t receive_header(transfer& current, const char* data, std::size_t count) {
     const std::string_view line(data, count);
+    current.received_bytes += count;
+    if (!current.latest_end && completes_head(current, line)) {
+        follow_progress(current, boot_clock::now());
+    }
     if (line.starts_with("HTTP/")) {
         current.response.headers.clear();
     }
@@ -89,7 +109,9 @@
 void set_connection_options(CURL* easy, const transfer& pending) {
     const bool repeatable = pending.request.method == "GET";
     const long timeout = std::max<long>(1, pending.request.timeout.count());
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout);
+    if (!has_progress_limit(pending)) {
+        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout);
+    }
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, timeout);
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, max_idle_seconds);
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, repeatable ? 0L : 1L);
@@ -158,9 +180,23 @@
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &on_header);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &pending);
     curl_easy_setopt(easy, CURLOPT_PRIVATE, &pending);
+    pending.next_look = boot_clock::now() + pending.request.timeout;
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+bool is_overdue(transfer& current, instant now) {
+    if (now < current.next_look) {
+        return false;
+    }
+    if (!current.latest_end || now >= *current.latest_end ||
+        current.received_bytes == current.received_bytes_before) {
+        return true;
+    }
+    current.received_bytes_before = current.received_bytes;
+    current.next_look = std::min(now + current.request.progress.step, *current.latest_end);
+    return false;
+}
+
 result<http_response> outcome_of(transfer& ended, CURLcode code) {
     if (code != CURLE_OK) {
         return error_of(ended, code);
--- a/src/object_api_client/object_api_client.cpp
+++ b/src/object_api_client/object_api_client.cpp
@@ -1,6 +1,7 @@
 #include "object_api_client/object_api_client.h"
 
 #include "object_api_client/internal/responses.h"
+#include "types/store_limits.h"
 
 #include <atomic>
 
@@ -10,6 +11,8 @@
 
 //! A watch times out if its response is late by more than this percentage of the call timeout.
 constexpr int max_watch_delay_percent = 66;
+//! A list that stops arriving for this long is given up: well over a round trip with a lost packet.
+constexpr milliseconds response_step{500};
 
 struct shared_counters {
     std::atomic<std::uint64_t> reads{0};
@@ -117,7 +120,9 @@
 
 void object_api_client::carry_out(const list_instances& /*wanted*/) {
     ++impl_->poster->counters.lists;
-    impl_->submit(impl_->make_request("GET", "/v1/instances"), detail::interpret_instance_list);
+    http_request request = impl_->make_request("GET", "/v1/instances");
+    request.progress = {response_step, longest_list_response};
+    impl_->submit(std::move(request), detail::interpret_instance_list);
 }
 
 object_api_counters object_api_client::counters() const {
--- a/src/object_api_client/tests/object_api_client_tests.cpp
+++ b/src/object_api_client/tests/object_api_client_tests.cpp
@@ -2,7 +2,9 @@
 #include "standins/common/testing.h"
 #include "standins/object_api/object_api.h"
 
+#include <atomic>
 #include <memory>
+#include <thread>
 #include <variant>
 
 // clang-format off
@@ -227,6 +229,48 @@
           store_status::unknown);
 }
 
+// Guards against a limit on a response that depends neither on its size nor on its progress: a long
+// list over a slow link was given up while it arrived, and begun anew.
+TEST(object_api_client, a_long_list_is_received_for_as_long_as_it_arrives) {
+    for (const bool stops : {false, true}) {
+        // GIVEN a store whose list takes over twice the limit of a call, or stops midway
+        constexpr std::size_t parts = 10;
+        std::atomic<bool> ended{false};
+        const auto slow_store = std::move(
+            standins::http_server::start({"127.0.0.1:0", 4}, [&](standins::exchange& current) {
+                const std::string body =
+                    R"({"revision":7,"instances":[{"id":"a","address":"127.0.0.1:1",)"
+                    R"("zone":"z1","role":"entry","state":"live"}]})";
+                const std::size_t size = body.size() / parts + 1;
+                current.begin_stream(200, {"Content-Type: application/json"});
+                for (std::size_t part = 0; part < (stops ? parts / 2 : parts); ++part) {
+                    std::this_thread::sleep_for(100ms);
+                    current.write_chunk(std::string_view(body).substr(part * size, size));
+                }
+                while (stops && !ended) {
+                    std::this_thread::sleep_for(10ms);
+                }
+                current.end_stream();
+            }).value());
+        collector<event> events;
+        const auto loop = std::move(http_loop::start().value());
+        const auto client = std::move(
+            object_api_client::start({slow_store->address(), "test", 400ms}, *loop,
+                                     [&](event happened) { events.add(std::move(happened)); })
+                .value());
+        const store_status expected = stops ? store_status::unknown : store_status::ok;
+        // WHEN the instances are listed
+        const instant began = boot_clock::now();
+        client->carry_out(list_instances{});
+        const auto listed = std::get<instances_listed>(events.wait_for(1).at(0));
+        ended = true;
+        // THEN the list is received whole; one that stops is given up within a second
+        CHECK(listed.status == expected);
+        LONGS_EQUAL(stops ? 0 : 1, listed.instances.size());
+        CHECK(boot_clock::now() - began < parts / 2 * 100ms + 1000ms + 400ms);
+    }
+}
+
 TEST(object_api_client, every_effect_ends_in_one_event_when_the_loop_ends) {
     // GIVEN effects without a response
     fixture given;
