--- a/src/codec/internal/json_events.h
+++ b/src/codec/internal/json_events.h
@@ -80,7 +80,7 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(peer_message_received, from, message)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(store_replied, number, status, object)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(watch_ended, prefix, status, revision, objects)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(watch_ended, prefix, status, revision, objects, number)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(instances_listed, status, instances)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(upstream_polled, upstream, answered, report)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(order_answered, upstream, number, status)
@@ -114,7 +114,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(send_to_peer, to, message)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(store_read, number, key)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(store_write, number, key, value, expected)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(watch_prefix, prefix, after, timeout)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(watch_prefix, prefix, after, timeout, number)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(poll_upstream, upstream, address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(order_upstream, upstream, address, number, fence, order, name)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(admission, workspace, plan, priority, time_left)
--- a/src/coordination/dispatch/tests/configuration_tests.cpp
+++ b/src/coordination/dispatch/tests/configuration_tests.cpp
@@ -234,14 +234,46 @@
                 }));
     out.clear();
     // WHEN the first watch ends after a second one was started THEN no third one is started
-    step(watch_ended{"config/", store_status::ok, 5, {}});
+    step(watch_ended{"config/", store_status::ok, 5, {}, 1});
     step(tick{});
     CHECK(std::none_of(out.begin(), out.end(), [](const effect& each) {
         return std::holds_alternative<watch_prefix>(each);
     }));
     // AND the third watch is started once the second one ends
-    step(watch_ended{"config/", store_status::ok, 5, {}});
+    step(watch_ended{"config/", store_status::ok, 5, {}, 2});
     CHECK(std::any_of(out.begin(), out.end(), [](const effect& each) {
         return std::holds_alternative<watch_prefix>(each);
     }));
 }
+
+// Guards against a response that took long to arrive and is dated by the start of a later watch.
+TEST(configuration_group, a_watch_that_outlasts_a_later_failed_one_is_dated_by_its_own_start) {
+    // GIVEN a watch whose response takes long, and a second one that was started meanwhile
+    environment env;
+    const roster_state roster = make_roster(env, instant{});
+    const instant first_start{milliseconds(1'000'000)};
+    instant now = first_start;
+    documents_state state = make_documents(env, now);
+    effects out;
+    std::vector<std::uint64_t> numbers;
+    const auto step = [&](const event& happened) {
+        out.clear();
+        reduce_documents(state, env, roster, happened, now, out);
+        for (const effect& each : out) {
+            if (const auto* watch = std::get_if<watch_prefix>(&each)) {
+                numbers.push_back(watch->number);
+            }
+        }
+    };
+    for (; numbers.size() < 2 && now < first_start + 10s; now += env.timing.tick) {
+        step(tick{});
+    }
+    LONGS_EQUAL(2, numbers.size());
+    CHECK(numbers[0] != numbers[1]);
+    // WHEN the second one fails and the first one ends with changes
+    state.store_state_as_of.reset();
+    step(watch_ended{"config/", store_status::refused, 0, {}, numbers[1]});
+    step(watch_ended{"config/", store_status::ok, 5, {{"config/other", 5, "", true}}, numbers[0]});
+    // THEN all updates are known up to the start of the first one
+    CHECK(state.store_state_as_of == first_start);
+}
--- a/src/coordination/dispatch/tests/fake_fleet.h
+++ b/src/coordination/dispatch/tests/fake_fleet.h
@@ -62,6 +62,7 @@
     std::size_t instance{0};
     object_version after{0};  //!< the watch ends at the first change after this revision
     bool done{false};
+    std::uint64_t wanted{0};  //!< number of its `watch_prefix`
 };
 
 //! The key-value store and its faults.
--- a/src/coordination/dispatch/tests/fake_fleet_store.cpp
+++ b/src/coordination/dispatch/tests/fake_fleet_store.cpp
@@ -13,12 +13,14 @@
 void end_watch(fleet& simulation, fake_watch& watch) {
     watch.done = true;
     if (!store_answers(simulation, watch.instance)) {
-        schedule(simulation, store_failure_delay, [&simulation, index = watch.instance] {
-            post(simulation, index, watch_ended{"config/", store_status::unknown, 0, {}});
-        });
+        schedule(simulation, store_failure_delay,
+                 [&simulation, index = watch.instance, number = watch.wanted] {
+                     post(simulation, index,
+                          watch_ended{"config/", store_status::unknown, 0, {}, number});
+                 });
         return;
     }
-    watch_ended ended{"config/", store_status::ok, simulation.store.revision, {}};
+    watch_ended ended{"config/", store_status::ok, simulation.store.revision, {}, watch.wanted};
     for (const auto& [key, object] : simulation.store.objects) {
         if (object.version > watch.after) {
             ended.objects.push_back(object);
@@ -65,15 +67,15 @@
 void start_watch(fleet& simulation, std::size_t index, const watch_prefix& wanted) {
     ++simulation.store.calls;
     if (!store_answers(simulation, index)) {
-        schedule(simulation, store_failure_delay, [&simulation, index] {
-            post(simulation, index, watch_ended{"config/", store_status::unknown, 0, {}});
+        schedule(simulation, store_failure_delay, [&simulation, index, number = wanted.number] {
+            post(simulation, index, watch_ended{"config/", store_status::unknown, 0, {}, number});
         });
         return;
     }
     if (simulation.store.unanswered_watches) {
         return;
     }
-    fake_watch watch{simulation.store.calls, index, wanted.after, false};
+    fake_watch watch{simulation.store.calls, index, wanted.after, false, wanted.number};
     if (simulation.store.revision > wanted.after) {
         end_watch(simulation, watch);
         return;
--- a/src/coordination/documents/documents.h
+++ b/src/coordination/documents/documents.h
@@ -49,6 +49,12 @@
     int write_attempts{0};
 };
 
+//! A watch of the store that hasn't ended yet.
+struct pending_watch {
+    std::uint64_t number{0};
+    instant started;
+};
+
 //! Zones and upstreams out of service according to the availability document.
 struct availability {
     std::set<zone_name> zones;
@@ -71,8 +77,9 @@
 
     std::map<std::uint64_t, pending_edit> edits;  //!< edits by number of the store call
     std::optional<instant> store_state_as_of;  //!< all store updates before this time were received
-    std::vector<instant> watch_starts;  //!< start times of the watches in flight, oldest first
-    instant next_watch;                 //!< earliest start of the next watch
+    std::vector<pending_watch> watches;        //!< in flight, oldest first
+    std::uint64_t last_watch{0};               //!< number of the watch that was started last
+    instant next_watch;                        //!< earliest start of the next watch
     instant next_recording;      //!< earliest start of the next recording of emergency orders
     object_version revision{0};  //!< store revision up to which updates were received
     std::uint64_t next_ticket{1};
--- a/src/coordination/documents/replication.cpp
+++ b/src/coordination/documents/replication.cpp
@@ -169,12 +169,9 @@
 
 //! Updates the time up to which all store updates were received. A reply without changes shows the
 //! store's state at the watch's timeout; any other reply may show the state at the watch's start.
-void update_store_contact_time(documents_context& context, const watch_ended& ended) {
+void update_store_contact_time(documents_context& context, const watch_ended& ended,
+                               instant started) {
     documents_state& state = context.state;
-    if (state.watch_starts.empty()) {
-        return;
-    }
-    const instant started = state.watch_starts.front();
     const instant timeout_end = started + context.env.timing.watch_timeout;
     const bool timed_out = ended.objects.empty() && context.now >= timeout_end;
     const instant known_at = timed_out ? timeout_end : started;
@@ -208,20 +205,21 @@
     documents_state& state = context.state;
     remove_gone_peers(context);
     const milliseconds timeout = context.env.timing.watch_timeout;
-    std::erase_if(state.watch_starts, [&](instant started) {
-        return context.now - started > watch_lost_after_timeouts * timeout;
+    std::erase_if(state.watches, [&](const pending_watch& each) {
+        return context.now - each.started > watch_lost_after_timeouts * timeout;
     });
-    const bool is_waiting = !state.watch_starts.empty() &&
-                            context.now - state.watch_starts.back() <= timeout + watch_reply_margin;
+    const bool is_waiting = !state.watches.empty() && context.now - state.watches.back().started <=
+                                                          timeout + watch_reply_margin;
     if (is_waiting || context.now < state.next_watch || !is_watcher(context)) {
         return;
     }
-    if (!state.watch_starts.empty()) {
+    if (!state.watches.empty()) {
         log_documents(context, severity::warning,
                       "The store watch is silent past its timeout; starting another one.");
     }
-    state.watch_starts.push_back(context.now);
-    context.out.emplace_back(watch_prefix{watched_prefix, state.revision, timeout});
+    state.watches.push_back({++state.last_watch, context.now});
+    context.out.emplace_back(
+        watch_prefix{watched_prefix, state.revision, timeout, state.last_watch});
 }
 
 void handle_watch_end(documents_context& context, const watch_ended& ended) {
@@ -229,11 +227,12 @@
     if (ended.prefix != watched_prefix) {
         return;
     }
-    if (ended.status == store_status::ok) {
-        update_store_contact_time(context, ended);
-    }
-    if (!state.watch_starts.empty()) {
-        state.watch_starts.erase(state.watch_starts.begin());
+    const auto found = std::ranges::find(state.watches, ended.number, &pending_watch::number);
+    if (found != state.watches.end()) {
+        if (ended.status == store_status::ok) {
+            update_store_contact_time(context, ended, found->started);
+        }
+        state.watches.erase(found);
     }
     state.next_watch =
         ended.status == store_status::ok ? context.now : context.now + watch_retry_delay;
--- a/src/object_api_client/object_api_client.cpp
+++ b/src/object_api_client/object_api_client.cpp
@@ -112,9 +112,10 @@
                                        "&after=" + std::to_string(wanted.after) +
                                        "&timeout_ms=" + std::to_string(wanted.timeout.count()));
     request.timeout = wanted.timeout + impl_->settings.timeout * max_watch_delay_percent / 100;
-    impl_->submit(std::move(request), [prefix = wanted.prefix,
-                                       after = wanted.after](const detail::http_result& response) {
-        return detail::interpret_watch(prefix, after, response);
+    impl_->submit(std::move(request), [wanted](const detail::http_result& response) {
+        watch_ended ended = detail::interpret_watch(wanted.prefix, wanted.after, response);
+        ended.number = wanted.number;
+        return ended;
     });
 }
 
--- a/src/types/effects.h
+++ b/src/types/effects.h
@@ -31,6 +31,7 @@
     std::string prefix;
     object_version after{0};
     milliseconds timeout{0};
+    std::uint64_t number{0};  //!< repeated in `watch_ended`
 };
 
 //! Reads the instance list; the result is `instances_listed`.
--- a/src/types/events.h
+++ b/src/types/events.h
@@ -30,6 +30,7 @@
     store_status status{store_status::unknown};  //!< `ok` also if nothing changed
     object_version revision{0};                  //!< start of the next long poll
     std::vector<stored_object> objects;          //!< changes, including deletions
+    std::uint64_t number{0};                     //!< of the `watch_prefix` that has ended
 };
 
 //! Result of one read of the instance list.
