--- a/src/coordination/roster/reduce.cpp
+++ b/src/coordination/roster/reduce.cpp
@@ -32,7 +32,7 @@
 void request_list(roster_state& state, const environment& env, instant now, effects& out) {
     const bool overdue =
         state.list_requested_at &&
-        now - *state.list_requested_at > 2 * env.timing.store_timeout + longest_list_response;
+        now - *state.list_requested_at > 2 * env.timing.store_timeout + longest_store_response;
     if (now < state.next_list_read || (state.list_requested_at && !overdue)) {
         return;
     }
--- a/src/object_api_client/object_api_client.cpp
+++ b/src/object_api_client/object_api_client.cpp
@@ -11,7 +11,7 @@
 
 //! A watch times out if its response is late by more than this percentage of the call timeout.
 constexpr int max_watch_delay_percent = 66;
-//! A list that stops arriving for this long is given up: well over a round trip with a lost packet.
+//! A response that stops for this long is given up: well over a round trip with a lost packet.
 constexpr milliseconds response_step{500};
 
 struct shared_counters {
@@ -112,6 +112,7 @@
                                        "&after=" + std::to_string(wanted.after) +
                                        "&timeout_ms=" + std::to_string(wanted.timeout.count()));
     request.timeout = wanted.timeout + impl_->settings.timeout * max_watch_delay_percent / 100;
+    request.progress = {response_step, longest_store_response};
     impl_->submit(std::move(request), [wanted](const detail::http_result& response) {
         watch_ended ended = detail::interpret_watch(wanted.prefix, wanted.after, response);
         ended.number = wanted.number;
@@ -122,7 +123,7 @@
 void object_api_client::carry_out(const list_instances& /*wanted*/) {
     ++impl_->poster->counters.lists;
     http_request request = impl_->make_request("GET", "/v1/instances");
-    request.progress = {response_step, longest_list_response};
+    request.progress = {response_step, longest_store_response};
     impl_->submit(std::move(request), detail::interpret_instance_list);
 }
 
--- a/src/types/store_limits.h
+++ b/src/types/store_limits.h
@@ -5,7 +5,8 @@
 
 namespace cyclamenmount {
 
-//! Longest time for which a list is received while it arrives: the one of the platform's client.
-constexpr milliseconds longest_list_response{8000};
+//! Longest time for which a list or a watch's response is received while it arrives: the one of the
+//! platform's client.
+constexpr milliseconds longest_store_response{8000};
 
 }  // namespace cyclamenmount
