--- a/src/object_api_client/object_api_client.cpp
+++ b/src/object_api_client/object_api_client.cpp
@@ -1,6 +1,7 @@
 #include "object_api_client/object_api_client.h"
 
 #include "object_api_client/internal/responses.h"
+#include "types/store_limits.h"
 
 #include <atomic>
 
@@ -10,6 +11,8 @@
 
 //! A watch times out if its response is late by more than this percentage of the call timeout.
 constexpr int max_watch_delay_percent = 66;
+//! A response that stops for this long is given up: well over a round trip with a lost packet.
+constexpr milliseconds response_step{500};
 
 struct shared_counters {
     std::atomic<std::uint64_t> reads{0};
@@ -109,15 +112,19 @@
                                        "&after=" + std::to_string(wanted.after) +
                                        "&timeout_ms=" + std::to_string(wanted.timeout.count()));
     request.timeout = wanted.timeout + impl_->settings.timeout * max_watch_delay_percent / 100;
-    impl_->submit(std::move(request), [prefix = wanted.prefix,
-                                       after = wanted.after](const detail::http_result& response) {
-        return detail::interpret_watch(prefix, after, response);
+    request.progress = {response_step, longest_store_response};
+    impl_->submit(std::move(request), [wanted](const detail::http_result& response) {
+        watch_ended ended = detail::interpret_watch(wanted.prefix, wanted.after, response);
+        ended.number = wanted.number;
+        return ended;
     });
 }
 
 void object_api_client::carry_out(const list_instances& /*wanted*/) {
     ++impl_->poster->counters.lists;
-    impl_->submit(impl_->make_request("GET", "/v1/instances"), detail::interpret_instance_list);
+    http_request request = impl_->make_request("GET", "/v1/instances");
+    request.progress = {response_step, longest_store_response};
+    impl_->submit(std::move(request), detail::interpret_instance_list);
 }
 
 object_api_counters object_api_client::counters() const {
