--- a/src/packing/packer.cpp
+++ b/src/packing/packer.cpp
@@ -204,7 +204,12 @@
     return call;
 }
 
-void requeue(packer& state, const called_piece& piece) {
+//! Has a piece of a call called again, unless that was done when the call timed out: the piece may
+//! be in a later call.
+void requeue(packer& state, const open_call& call, const called_piece& piece) {
+    if (call.is_overdue) {
+        return;
+    }
     const auto found = state.jobs.find(piece.job);
     if (found == state.jobs.end()) {
         return;
@@ -263,8 +268,8 @@
     complete_job_if_done(state, piece.job, out);
 }
 
-void record_failed_piece(packer& state, const called_piece& piece, piece_status status, instant now,
-                         packer_effects& out) {
+void record_failed_piece(packer& state, const open_call& call, const called_piece& piece,
+                         piece_status status, instant now, packer_effects& out) {
     const auto job = state.jobs.find(piece.job);
     if (job == state.jobs.end()) {
         return;
@@ -277,7 +282,7 @@
         reject_job(state, piece.job, pieces_verdict::overloaded, now, out);
         return;
     }
-    requeue(state, piece);
+    requeue(state, call, piece);
     if (status == piece_status::failed && ++job->second.failures >= max_piece_failures) {
         reject_job(state, piece.job, pieces_verdict::failed, now, out);
     }
@@ -308,7 +313,7 @@
                 record_completed_piece(state, call->pieces[i], incoming.outcomes[i], removed, now,
                                        out);
             } else {
-                requeue(state, call->pieces[i]);
+                requeue(state, *call, call->pieces[i]);
             }
         }
         return;
@@ -316,7 +321,7 @@
     record_call_duration(producer->second, *call, now);
     for (std::size_t i = 0; i < call->pieces.size(); ++i) {
         if (i >= incoming.outcomes.size()) {
-            requeue(state, call->pieces[i]);
+            requeue(state, *call, call->pieces[i]);
             continue;
         }
         const piece_outcome& outcome = incoming.outcomes[i];
@@ -328,7 +333,7 @@
             // The memory is full of results of other packers.
             assume_memory_full(state, producer->second, now);
         }
-        record_failed_piece(state, call->pieces[i], outcome.status, now, out);
+        record_failed_piece(state, *call, call->pieces[i], outcome.status, now, out);
     }
 }
 
@@ -364,7 +369,7 @@
         }
     }
     for (const called_piece& piece : call->pieces) {
-        requeue(state, piece);
+        requeue(state, *call, piece);
     }
     if (incoming.why == call_failure::crashed) {
         record_crash(state, *call, now, out);
@@ -412,10 +417,10 @@
         if (call.is_overdue || now < call.started_at + timeout) {
             continue;
         }
-        call.is_overdue = true;
         for (const called_piece& piece : call.pieces) {
-            requeue(state, piece);
+            requeue(state, call, piece);
         }
+        call.is_overdue = true;
         if (upstream != state.upstreams.end()) {
             back_off(upstream->second, now);
         }
--- a/src/packing/tests/packer_tests.cpp
+++ b/src/packing/tests/packer_tests.cpp
@@ -325,6 +325,23 @@
     LONGS_EQUAL(1, all_of<release_results>(complete_call(state, calls[0], start + 900ms)).size());
 }
 
+// Guards against a piece in two calls at once, which a late failure of a third one would bring
+// about.
+TEST(packer, a_late_failure_of_a_timed_out_call_leaves_its_repetition_alone) {
+    // GIVEN a call that has timed out, and whose piece is in a call to another upstream
+    packer state = make_packer({make_upstream("u1"), make_upstream("u2"), make_upstream("u3")});
+    const auto calls = all_of<make_call>(reduce(state, job_submitted{make_job(1, 1)}, start));
+    const auto again = all_of<make_call>(reduce(state, packer_tick{}, start + 600ms));
+    LONGS_EQUAL(1, again.size());
+    // WHEN the first call fails after all
+    const auto effects =
+        reduce(state, call_failed{calls[0].number, call_failure::crashed}, start + 610ms);
+    // THEN no third upstream is called while the second one still works on the piece
+    LONGS_EQUAL(0, all_of<make_call>(effects).size());
+    // AND the second one's response completes the job
+    LONGS_EQUAL(1, all_of<job_completed>(complete_call(state, again[0], start + 700ms)).size());
+}
+
 TEST(packer, a_job_with_a_lost_input_is_rejected) {
     // GIVEN a job with inputs in a call
     packer state = make_packer({make_upstream("u1")});
