--- a/src/stream_versions/stream_versions.cpp
+++ b/src/stream_versions/stream_versions.cpp
@@ -47,21 +47,70 @@
 }
 
 std::optional<stream_origin> find_origin(const stored_streams& stored, std::string_view key,
-                                         const pool_name& pool) {
+                                         const std::set<pool_name>& pools) {
     const auto recorded = stored.origins.find(std::string(key));
     if (recorded != stored.origins.end()) {
         return recorded->second;
     }
-    const auto versions = stored.versions.find(pool);
-    if (versions == stored.versions.end() || versions->second.size() != 1) {
-        return std::nullopt;
+    std::optional<stream_origin> only;
+    for (const pool_name& pool : pools) {
+        const auto versions = stored.versions.find(pool);
+        if (versions == stored.versions.end() || versions->second.empty()) {
+            continue;  // a version is registered before it begins a stream
+        }
+        if (only || versions->second.size() != 1) {
+            return std::nullopt;
+        }
+        only = stream_origin{pool, *versions->second.begin()};
     }
-    return stream_origin{pool, *versions->second.begin()};
+    return only;
 }
 
-bool needs_records(const pool_versions& registered, const pool_name& pool) {
+bool needs_records(const pool_versions& registered, const std::set<pool_name>& shared,
+                   const pool_name& pool) {
     const auto found = registered.find(pool);
-    return found == registered.end() || found->second.size() != 1;
+    return found == registered.end() || found->second.size() != 1 || shared.contains(pool);
+}
+
+void record_route_pools(route_pools& known, const serving_config& config, milliseconds lifetime,
+                        instant now) {
+    for (const route& one : config.routes) {
+        if (one.kind != request_kind::stream || !one.is_resumable) {
+            continue;
+        }
+        for (const weighted_pool& target : one.pools) {
+            known.last_seen[one.name][target.pool] = now;
+        }
+    }
+    for (auto& [name, pools] : known.last_seen) {
+        std::erase_if(pools, [&](const auto& pool) { return now - pool.second > lifetime; });
+    }
+    std::erase_if(known.last_seen, [](const auto& one) { return one.second.empty(); });
+}
+
+std::set<pool_name> shared_pools(const route_pools& known) {
+    std::set<pool_name> shared;
+    for (const auto& [name, pools] : known.last_seen) {
+        if (pools.size() < 2) {
+            continue;
+        }
+        for (const auto& [pool, last_seen] : pools) {
+            shared.insert(pool);
+        }
+    }
+    return shared;
+}
+
+std::set<pool_name> pools_of(const route_pools& known, const std::string& route,
+                             const pool_name& pool) {
+    std::set<pool_name> pools{pool};
+    const auto found = known.last_seen.find(route);
+    if (found != known.last_seen.end()) {
+        for (const auto& [name, last_seen] : found->second) {
+            pools.insert(name);
+        }
+    }
+    return pools;
 }
 
 milliseconds take_up_time(const serving_config& config) {
--- a/src/stream_versions/stream_versions.h
+++ b/src/stream_versions/stream_versions.h
@@ -18,6 +18,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -53,13 +54,32 @@
     std::map<std::string, stream_origin> origins;  //!< of recorded streams, by key
 };
 
-//! Origin of a stream according to the store: its record, or the only version of the pool that the
-//! request would be sent to. None if neither exists.
+//! Origin of a stream according to the store: its record, or the only version of all the pools in
+//! which it may have begun. None if neither exists.
 std::optional<stream_origin> find_origin(const stored_streams& stored, std::string_view key,
-                                         const pool_name& pool);
+                                         const std::set<pool_name>& pools);
 
-//! True if streams of the pool have to be recorded, as the pool isn't known to have one version.
-bool needs_records(const pool_versions& registered, const pool_name& pool);
+//! True if streams of the pool have to be recorded, as the pool isn't known to have one version, or
+//! is one of several in which a stream of a route may have begun.
+bool needs_records(const pool_versions& registered, const std::set<pool_name>& shared,
+                   const pool_name& pool);
+
+//! When each resumable route led to each of its pools last. A stream may be taken up after its
+//! route was moved to another pool.
+struct route_pools {
+    std::map<std::string, std::map<pool_name, instant>> last_seen;  //!< by route and pool
+};
+
+//! Updates the pools of the routes; forgets those that no route has led to for `lifetime`.
+void record_route_pools(route_pools& known, const serving_config& config, milliseconds lifetime,
+                        instant now);
+
+//! Pools that are one of several in which a stream of a route may have begun.
+std::set<pool_name> shared_pools(const route_pools& known);
+
+//! Pools in which a stream may have begun that would be sent to the pool now.
+std::set<pool_name> pools_of(const route_pools& known, const std::string& route,
+                             const pool_name& pool);
 
 //! Time after its beginning in which a stream may be taken up; zero without resumable routes.
 milliseconds take_up_time(const serving_config& config);
--- a/src/stream_versions/tests/stream_versions_tests.cpp
+++ b/src/stream_versions/tests/stream_versions_tests.cpp
@@ -22,7 +22,7 @@
 
 route make_route(const char* prefix, bool is_resumable, milliseconds timeout) {
     route made;
-    made.path_prefix = prefix;
+    made.name = made.path_prefix = prefix;
     made.kind = request_kind::stream;
     made.is_resumable = is_resumable;
     made.timeout = timeout;
@@ -38,31 +38,31 @@
     // GIVEN
     const stored_streams stored{{{engines, {v1}}}, {}};
     // WHEN
-    const auto origin = find_origin(stored, stream_key("a"), engines);
+    const auto origin = find_origin(stored, stream_key("a"), {engines});
     // THEN
     CHECK_TRUE(origin == (stream_origin{engines, v1}));
-    CHECK_FALSE(needs_records(stored.versions, engines));
+    CHECK_FALSE(needs_records(stored.versions, {}, engines));
 }
 
 TEST(stream_versions, an_unrecorded_stream_of_a_pool_with_two_versions_is_not_guessed) {
     // GIVEN
     const stored_streams stored{{{engines, {v1, v2}}}, {{stream_key("a"), {engines, v2}}}};
     // THEN
-    CHECK_TRUE(find_origin(stored, stream_key("a"), engines) == (stream_origin{engines, v2}));
-    CHECK_FALSE(find_origin(stored, stream_key("b"), engines).has_value());
-    CHECK_TRUE(needs_records(stored.versions, engines));
+    CHECK_TRUE(find_origin(stored, stream_key("a"), {engines}) == (stream_origin{engines, v2}));
+    CHECK_FALSE(find_origin(stored, stream_key("b"), {engines}).has_value());
+    CHECK_TRUE(needs_records(stored.versions, {}, engines));
 }
 
 TEST(stream_versions, a_record_goes_before_the_only_version_of_the_pool) {
     // GIVEN a version that was removed while the record of its stream is still there
     const stored_streams stored{{{engines, {v2}}}, {{stream_key("a"), {engines, v1}}}};
     // THEN
-    CHECK_TRUE(find_origin(stored, stream_key("a"), engines) == (stream_origin{engines, v1}));
+    CHECK_TRUE(find_origin(stored, stream_key("a"), {engines}) == (stream_origin{engines, v1}));
 }
 
 TEST(stream_versions, a_pool_without_registered_versions_has_no_known_origin) {
-    CHECK_FALSE(find_origin(stored_streams{}, stream_key("a"), engines).has_value());
-    CHECK_TRUE(needs_records({}, engines));
+    CHECK_FALSE(find_origin(stored_streams{}, stream_key("a"), {engines}).has_value());
+    CHECK_TRUE(needs_records({}, {}, engines));
 }
 
 TEST(stream_versions, own_records_are_found_until_they_expire) {
@@ -183,8 +183,9 @@
     // GIVEN
     pool_versions registered{{engines, {v1}}};
     add_forgotten_version(registered);
-    CHECK_TRUE(needs_records(registered, engines));
-    CHECK_FALSE(find_origin(stored_streams{registered, {}}, stream_key("a"), engines).has_value());
+    CHECK_TRUE(needs_records(registered, {}, engines));
+    CHECK_FALSE(
+        find_origin(stored_streams{registered, {}}, stream_key("a"), {engines}).has_value());
     // WHEN
     version_sightings sightings;
     record_sightings(sightings, registered, {{engines, {v1}}}, start);
@@ -193,3 +194,41 @@
     CHECK_TRUE(difference(registered, absent_versions(sightings, registered, 10s, start + 10s)) ==
                (pool_versions{{engines, {v1}}}));
 }
+
+TEST(stream_versions, a_stream_without_a_record_needs_one_version_in_all_its_pools) {
+    // GIVEN two pools of one version each, and one that has begun no stream
+    const pool_name other{"other"};
+    const pool_name unused{"unused"};
+    const stored_streams stored{{{engines, {v1}}, {other, {v1}}}, {{stream_key("a"), {other, v1}}}};
+    // THEN the version is known only if one pool comes into question
+    CHECK_TRUE(find_origin(stored, stream_key("b"), {engines}) == (stream_origin{engines, v1}));
+    CHECK_TRUE(find_origin(stored, stream_key("b"), {engines, unused}) ==
+               (stream_origin{engines, v1}));
+    CHECK_FALSE(find_origin(stored, stream_key("b"), {engines, other}).has_value());
+    CHECK_TRUE(find_origin(stored, stream_key("a"), {engines, other}) ==
+               (stream_origin{other, v1}));
+    CHECK_FALSE(needs_records(stored.versions, {}, engines));
+    CHECK_TRUE(needs_records(stored.versions, {engines, other}, engines));
+}
+
+TEST(stream_versions, the_pools_of_a_route_include_those_it_led_to_lately) {
+    // GIVEN a route that leads to one pool, and one that isn't resumable and leads to two
+    const pool_name other{"other"};
+    serving_config config;
+    config.routes = {make_route("/a/", true, 1s), make_route("/b/", false, 1s)};
+    config.routes.back().pools.push_back({other, 1});
+    route_pools known;
+    record_route_pools(known, config, 10s, start);
+    CHECK_TRUE(shared_pools(known).empty());
+    CHECK_TRUE(pools_of(known, "/a/", engines) == (std::set{engines}));
+    // WHEN it is moved to the other pool
+    config.routes.front().pools = {{other, 1}};
+    record_route_pools(known, config, 10s, start + 10s);
+    // THEN its streams may be of both
+    CHECK_TRUE(shared_pools(known) == (std::set{engines, other}));
+    CHECK_TRUE(pools_of(known, "/a/", other) == (std::set{engines, other}));
+    // AND of the new one alone once those of the old one can't be taken up any more
+    record_route_pools(known, config, 10s, start + 11s);
+    CHECK_TRUE(shared_pools(known).empty());
+    CHECK_TRUE(pools_of(known, "/a/", other) == (std::set{other}));
+}
