--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -23,6 +23,12 @@
   target_link_libraries(${name} PRIVATE ${PROGRAM_LINK})
 endfunction()
 
+# cyclamenmount_static_runtime(NAME): links the compiler's and the C++ library's runtime as archives.
+function(cyclamenmount_static_runtime name)
+  target_link_options(${name} PRIVATE -static-libstdc++ -static-libgcc)
+  set_target_properties(${name} PROPERTIES HAS_STATIC_RUNTIME ON)
+endfunction()
+
 # cyclamenmount_test(NAME SOURCES ... [LINK ...]): one CppUTest runner, registered with CTest.
 function(cyclamenmount_test name)
   if(CYCLAMENMOUNT_PLATFORM_ONLY)
