--- a/src/types/store_version.h
+++ b/src/types/store_version.h
@@ -16,6 +16,8 @@
 //! Number of eras that a version tells apart; the number of an era is taken modulo this.
 inline constexpr std::uint64_t era_count = std::uint64_t{1} << (64 - revision_bits);
 
+inline constexpr std::uint64_t max_revision = (std::uint64_t{1} << revision_bits) - 1;
+
 constexpr object_version make_store_version(std::uint64_t era, std::uint64_t revision) {
     return (era << revision_bits) | revision;
 }
@@ -25,7 +27,7 @@
 }
 
 constexpr std::uint64_t revision_of(object_version version) {
-    return version & ((std::uint64_t{1} << revision_bits) - 1);
+    return version & max_revision;
 }
 
 }  // namespace cyclamenmount
