--- a/src/upstream_directives/tests/upstream_directives_tests.cpp
+++ b/src/upstream_directives/tests/upstream_directives_tests.cpp
@@ -141,3 +141,18 @@
     // THEN it gets requests
     CHECK_TRUE(time_to_next_request(state, {0, 1}, start + 60s) == 0ms);
 }
+
+// Guards against a limit whose count doesn't fit an integer and is taken for none.
+TEST(upstream_directives, a_limit_beyond_all_counts_is_shared_as_the_greatest) {
+    for (const double per_second : {1e9, 1e18, 1e300}) {
+        // GIVEN an upstream with a limit whose requests in a window can't be counted
+        directive_state state;
+        apply_known_limit(state, per_second, start);
+        // WHEN an instance of many asks for its room
+        const std::optional<int> room = room_at(state, {7, 640}, start + 1s);
+        // THEN it has its share of the greatest count, and may send at once
+        CHECK_TRUE(room.has_value());
+        CHECK_TRUE(*room >= 1'000'000);
+        CHECK_TRUE(time_to_next_request(state, {7, 640}, start + 1s) == 0ms);
+    }
+}
--- a/src/upstream_directives/upstream_directives.cpp
+++ b/src/upstream_directives/upstream_directives.cpp
@@ -1,5 +1,7 @@
 #include "upstream_directives/upstream_directives.h"
 
+#include "types/numeric.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -16,7 +18,7 @@
 constexpr double min_per_second = 0.001;
 
 milliseconds period_of(double per_second) {
-    return milliseconds(std::lround(ms_per_second / std::max(per_second, min_per_second)));
+    return to_milliseconds(ms_per_second / std::max(per_second, min_per_second));
 }
 
 //! Requests since the limit became known that are within the window at `at`.
@@ -64,8 +66,8 @@
     // Below one request in the window, one instance sends one in a longer window.
     const bool is_slow = in_window(sustained_window) < 1;
     const milliseconds window = is_slow ? period_of(per_second) : sustained_window;
-    const int total = is_slow ? 1 : static_cast<int>(std::floor(in_window(sustained_window)));
-    const int burst = static_cast<int>(std::floor(in_window(burst_window) + burst_requests));
+    const int total = is_slow ? 1 : truncate_to<int>(std::floor(in_window(sustained_window)));
+    const int burst = truncate_to<int>(std::floor(in_window(burst_window) + burst_requests));
     const instance_rank sender{rank.before, std::min({rank.instances, burst, total})};
     if (sender.before < sender.instances) {
         return {{share_of(total, sender), window}, {share_of(burst, sender), burst_window}, 0ms};
