--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/roster/roster.h"
 #include "routing/choose.h"
+#include "types/numeric.h"
 
 #include <algorithm>
 #include <cmath>
@@ -103,7 +104,7 @@
 //! all instances.
 int cold_allowance(placement_state& state, const fleet_view& view, const pool_limits& pool,
                    const upstream_id& upstream, instant now) {
-    const int limit = static_cast<int>(std::floor(
+    const int limit = truncate_to<int>(std::floor(
         pool.cold_per_second * state.settings.cold_overshoot + state.settings.cold_extra_rate));
     return share_of(limit, cached_rank(state, view, upstream, now));
 }
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -309,3 +309,20 @@
     wanted.excluded = {busy.id};
     CHECK_FALSE(place(state, view, wanted, start).has_value());
 }
+
+// Guards against a cold upstream that gets nothing, as its rate doesn't fit an integer.
+TEST(placement, a_cold_upstream_with_a_rate_beyond_all_counts_gets_requests) {
+    // GIVEN a pool whose cold upstreams tolerate a rate that can't be counted, and no warm one
+    serving_upstream cold = make_upstream("cold", "z1");
+    cold.cold_until = start + 3s;
+    fleet_view view = make_view({cold});
+    auto config = std::make_shared<serving_config>(*view.config);
+    config->pools[pool].cold_per_second = 1e300;
+    view.config = config;
+    placement_state state;
+    // WHEN a request is placed
+    const auto chosen = place(state, view, make_request(false), start);
+    // THEN the cold upstream gets it
+    CHECK_TRUE(chosen.has_value());
+    STRCMP_EQUAL("cold", chosen->id.value.c_str());
+}
