--- a/src/packing/packer.cpp
+++ b/src/packing/packer.cpp
@@ -1,6 +1,7 @@
 #include "packing/packer.h"
 
 #include "packing/internal/selection.h"
+#include "types/numeric.h"
 #include "types/overloaded.h"
 
 #include <algorithm>
@@ -180,8 +181,8 @@
     } else {
         end = detail::late_end(state, job, end, now);
     }
-    const auto reserve = milliseconds(
-        std::lround(static_cast<double>((job.hard_deadline - now).count()) * late_job_margin));
+    const auto reserve =
+        to_milliseconds(static_cast<double>((job.hard_deadline - now).count()) * late_job_margin);
     const instant latest =
         can_be_on_time || job.depth > 0 ? job.hard_deadline : job.hard_deadline - reserve;
     if (end > latest) {
@@ -410,10 +411,9 @@
         const auto upstream = state.upstreams.find(call.upstream);
         const double slowdown =
             upstream == state.upstreams.end() ? 1 : std::max(1.0, upstream->second.slowdown);
-        const auto timeout =
-            milliseconds(std::lround(static_cast<double>(call.expected_duration.count()) *
-                                     overdue_factor * slowdown)) +
-            overdue_slack;
+        const auto timeout = to_milliseconds(static_cast<double>(call.expected_duration.count()) *
+                                             overdue_factor * slowdown) +
+                             overdue_slack;
         if (call.is_overdue || now < call.started_at + timeout) {
             continue;
         }
@@ -563,7 +563,7 @@
         return max_backoff;
     }
     const double spare = 1 - std::min(detail::utilization(state, now), max_drain_utilization);
-    return milliseconds(std::lround(static_cast<double>((end - now).count()) / spare));
+    return to_milliseconds(static_cast<double>((end - now).count()) / spare);
 }
 
 std::vector<packer_effect> reduce(packer& state, const packer_event& incoming, instant now) {
--- a/src/packing/selection.cpp
+++ b/src/packing/selection.cpp
@@ -1,5 +1,7 @@
 #include "packing/internal/selection.h"
 
+#include "types/numeric.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -37,7 +39,7 @@
 
 //! Duration of a call at an upstream: the nominal duration times the upstream's slowdown factor.
 milliseconds scale_duration(milliseconds duration, double slowdown) {
-    return milliseconds(std::lround(static_cast<double>(duration.count()) * slowdown));
+    return to_milliseconds(static_cast<double>(duration.count()) * slowdown);
 }
 
 //! Sort key of jobs; the smallest is served first. Jobs that can still meet their soft deadline
@@ -86,9 +88,9 @@
         job.bytes_to_zone < min_zone_wait_bytes) {
         return false;
     }
-    const auto max_wait = milliseconds(std::lround(
+    const auto max_wait = to_milliseconds(
         std::min(max_zone_wait_ms,
-                 zone_wait_ms_per_mb * static_cast<double>(job.bytes_to_zone) / bytes_per_mb)));
+                 zone_wait_ms_per_mb * static_cast<double>(job.bytes_to_zone) / bytes_per_mb));
     for (const auto& [id, other] : state.upstreams) {
         if (other.value.zone != job.zone || !is_usable(other, now) ||
             other.slowdown >= slow_upstream_threshold) {
@@ -139,7 +141,7 @@
     }
     const double left =
         1 - static_cast<double>(age.count()) / other_packers_result_lifetime.count();
-    return static_cast<std::uint64_t>(static_cast<double>(upstream.other_packers_bytes) * left);
+    return truncate_to<std::uint64_t>(static_cast<double>(upstream.other_packers_bytes) * left);
 }
 
 //! True if more pieces wait than fit into two full calls. Jobs are then split to fill calls;
@@ -195,8 +197,7 @@
         if (bytes <= free_bytes_ || bytes_per_ms_ <= 0) {
             return now_;
         }
-        return now_ +
-               milliseconds(std::lround(static_cast<double>(bytes - free_bytes_) / bytes_per_ms_));
+        return now_ + to_milliseconds(static_cast<double>(bytes - free_bytes_) / bytes_per_ms_);
     }
 
     //! Time when the first `pieces` pieces are completed if there is memory for them.
@@ -258,7 +259,7 @@
 }  // namespace
 
 std::uint64_t result_capacity(const stage_limits& limits) {
-    return static_cast<std::uint64_t>(limits.result_mb * bytes_per_mb * usable_memory_fraction);
+    return truncate_to<std::uint64_t>(limits.result_mb * bytes_per_mb * usable_memory_fraction);
 }
 
 std::uint64_t result_capacity(const packer& state) {
@@ -266,7 +267,7 @@
 }
 
 milliseconds call_duration(const stage_limits& limits, int pieces) {
-    return milliseconds(std::lround(limits.call_ms + limits.piece_ms * pieces));
+    return to_milliseconds(limits.call_ms + limits.piece_ms * pieces);
 }
 
 milliseconds call_duration_at(const packer& state, const packer_upstream& upstream, int pieces) {
@@ -344,7 +345,7 @@
         return instant::max();
     }
     const double spare = 1 - std::min(load, max_started_utilization);
-    return now + milliseconds(std::lround(static_cast<double>((end - now).count()) / spare));
+    return now + to_milliseconds(static_cast<double>((end - now).count()) / spare);
 }
 
 bool is_started(const open_job& open) {
--- a/src/packing/tests/pool_replay.cpp
+++ b/src/packing/tests/pool_replay.cpp
@@ -1,5 +1,7 @@
 #include "packing/tests/pool_replay.h"
 
+#include "types/numeric.h"
+
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -38,8 +40,7 @@
 }
 
 milliseconds duration_of(const pool_model& pool, const model_upstream& upstream, int pieces) {
-    return milliseconds(
-        std::lround(upstream.speed * (pool.limits.call_ms + pool.limits.piece_ms * pieces)));
+    return to_milliseconds(upstream.speed * (pool.limits.call_ms + pool.limits.piece_ms * pieces));
 }
 
 std::uint64_t memory_of(const pool_model& pool) {
--- a/src/serving/stage_admission.cpp
+++ b/src/serving/stage_admission.cpp
@@ -1,5 +1,7 @@
 #include "serving/stage_admission.h"
 
+#include "types/numeric.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -29,14 +31,14 @@
 
 milliseconds remaining_time_with_waits(const stage_graph& graph, const serving_config& config,
                                        const stage_wait_function& wait) {
-    return milliseconds(std::lround(longest_path(graph, wait_of_stage(wait)))) +
+    return to_milliseconds(longest_path(graph, wait_of_stage(wait))) +
            remaining_time(graph, config);
 }
 
 milliseconds remaining_time_after_with_waits(const stage_graph& graph, std::size_t stage,
                                              const serving_config& config,
                                              const stage_wait_function& wait) {
-    return milliseconds(std::lround(longest_path_after(graph, stage, wait_of_stage(wait)))) +
+    return to_milliseconds(longest_path_after(graph, stage, wait_of_stage(wait))) +
            remaining_time_after(graph, stage, config);
 }
 
--- a/src/serving/stage_graph.cpp
+++ b/src/serving/stage_graph.cpp
@@ -1,5 +1,7 @@
 #include "serving/stage_graph.h"
 
+#include "types/numeric.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -150,12 +152,12 @@
 }
 
 milliseconds remaining_time(const stage_graph& graph, const serving_config& config) {
-    return milliseconds(std::lround(longest_path(graph, least_time_of_stage(config))));
+    return to_milliseconds(longest_path(graph, least_time_of_stage(config)));
 }
 
 milliseconds remaining_time_after(const stage_graph& graph, std::size_t stage,
                                   const serving_config& config) {
-    return milliseconds(std::lround(longest_path_after(graph, stage, least_time_of_stage(config))));
+    return to_milliseconds(longest_path_after(graph, stage, least_time_of_stage(config)));
 }
 
 instant results_deadline(const stage_graph& graph, std::size_t stage,
--- a/src/serving/stage_schedule.cpp
+++ b/src/serving/stage_schedule.cpp
@@ -1,5 +1,7 @@
 #include "serving/stage_schedule.h"
 
+#include "types/numeric.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -28,7 +30,7 @@
     const double own_path =
         time_left(graph.stages[stage]) + longest_path_after(graph, stage, time_left);
     const double slack = longest_path(graph, time_left) - own_path;
-    return milliseconds(std::lround(std::max(0.0, slack)));
+    return to_milliseconds(std::max(0.0, slack));
 }
 
 instant latest_start(const stage_graph& graph, std::size_t stage, const serving_config& config,
--- a/src/upstreams/response_reader.cpp
+++ b/src/upstreams/response_reader.cpp
@@ -1,6 +1,7 @@
 #include "upstreams/internal/response_reader.h"
 
 #include "codec/json_split.h"
+#include "types/numeric.h"
 #include "upstream_control/upstream_control.h"
 
 #include <algorithm>
@@ -65,7 +66,7 @@
     }
     const double value = found->get<double>();
     constexpr double max_busy_ms = 3'600'000;
-    return milliseconds(static_cast<std::int64_t>(std::clamp(value, 0.0, max_busy_ms)));
+    return to_milliseconds(std::clamp(std::trunc(value), 0.0, max_busy_ms));
 }
 
 json parse_json(std::string_view text) {
