--- a/src/coordination/at_most_once/tests/at_most_once_tests.cpp
+++ b/src/coordination/at_most_once/tests/at_most_once_tests.cpp
@@ -371,3 +371,10 @@
     CHECK_FALSE(fleet.decisions.at(binary).reply.outcome.known);
     check_verdict(fleet, unknown, permit_verdict::unknown_outcome);
 }
+
+// Guards against instances of two architectures that record a key in different shards.
+TEST(at_most_once, the_shard_of_a_key_is_the_same_on_all_architectures) {
+    // GIVEN a workspace and keys; WHEN their shards are chosen, THEN the results are fixed
+    UNSIGNED_LONGLONGS_EQUAL(13U, detail::shard_of({"w"}, {"k-1"}));
+    UNSIGNED_LONGLONGS_EQUAL(3U, detail::shard_of({"w\xff"}, {std::string(300, 'k')}));
+}
--- a/src/coordination/roster/tests/roster_tests.cpp
+++ b/src/coordination/roster/tests/roster_tests.cpp
@@ -246,3 +246,12 @@
     // AND it is asked for again if its client never reports
     LONGS_EQUAL(1, lists_wanted(2 * env.timing.store_timeout));
 }
+
+// Guards against members of two architectures that take different ones for an owner.
+TEST(roster, rendezvous_weights_are_the_same_on_all_architectures) {
+    // GIVEN members and keys of several lengths; WHEN they are weighed, THEN the results are fixed
+    UNSIGNED_LONGLONGS_EQUAL(13541275757435531382U, rendezvous_weight({"i-1"}, "share/w"));
+    UNSIGNED_LONGLONGS_EQUAL(7444292396773721819U,
+                             rendezvous_weight({"i-1"}, std::string(300, 'k')));
+    UNSIGNED_LONGLONGS_EQUAL(6828289939674497532U, rendezvous_weight({"\xff\x80"}, ""));
+}
--- a/src/routing/tests/choose_tests.cpp
+++ b/src/routing/tests/choose_tests.cpp
@@ -93,3 +93,11 @@
     }
     CHECK(moved < 200);
 }
+
+// Guards against instances of two architectures that choose differently.
+TEST(choose, weights_are_the_same_on_all_architectures) {
+    // GIVEN names and a hash; WHEN they are weighed, THEN the results are fixed
+    UNSIGNED_LONGLONGS_EQUAL(5682024150051783982U, subset_weight("i-1", {"u-1"}));
+    UNSIGNED_LONGLONGS_EQUAL(17526614628411710225U,
+                             detail::prefix_weight(0x0123456789abcdef, {"u-1"}));
+}
--- a/src/stream_versions/tests/stream_versions_tests.cpp
+++ b/src/stream_versions/tests/stream_versions_tests.cpp
@@ -266,3 +266,10 @@
     CHECK_TRUE(shared_pools(known).empty());
     CHECK_TRUE(pools_of(known, "/a/", other) == (std::set{other}));
 }
+
+// Guards against instances of two architectures that look for a stream under different names.
+TEST(stream_versions, the_key_of_a_stream_is_the_same_on_all_architectures) {
+    // GIVEN attempts; WHEN their keys are formed, THEN the results are fixed
+    STRCMP_EQUAL("38f760f41870", stream_key("a-1").c_str());
+    STRCMP_EQUAL("6034d1df4eca", stream_key(std::string(300, '\xfe')).c_str());
+}
