--- a/src/http_exchange/tcp_options.cpp
+++ b/src/http_exchange/tcp_options.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-//! Time after which unacknowledged data closes the connection, in milliseconds: well over a slow
-//! round trip with two lost packets, and short enough to repeat a request before its deadline.
+//! Time after which a peer with unacknowledged data counts as unresponsive, in milliseconds: well
+//! over a slow round trip with two lost packets, and short enough to repeat a request before its
+//! deadline.
 constexpr int unacknowledged_timeout_ms = 2000;
 //! Idle time before the first keep-alive probe and between probes, in seconds; the smallest values
 //! that TCP allows.
@@ -24,13 +25,26 @@
 
 }  // namespace
 
-void set_tcp_options(int descriptor) {
+void set_caller_tcp_options(int descriptor) {
     set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
     set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, keepalive_idle_s);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, keepalive_interval_s);
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, max_unanswered_probes);
+}
+
+void set_tcp_options(int descriptor) {
+    set_caller_tcp_options(descriptor);
     set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_timeout_ms);
 }
 
+bool is_unresponsive(int descriptor) {
+    tcp_info state{};
+    socklen_t size = sizeof(state);
+    // If the kernel doesn't tell, the timeout of a write detects an unresponsive peer, though
+    // later.
+    return getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &state, &size) == 0 &&
+           state.tcpi_unacked > 0 && state.tcpi_last_ack_recv > unacknowledged_timeout_ms;
+}
+
 }  // namespace cyclamenmount
