--- a/src/http_exchange/client_exchange.cpp
+++ b/src/http_exchange/client_exchange.cpp
@@ -20,6 +20,8 @@
 //! Request bodies from this size on are written while the response is read.
 constexpr std::size_t min_concurrent_write_bytes = std::size_t{8} * 1024;
 constexpr std::size_t read_bytes = std::size_t{4} * 1024;
+//! Interim responses (1xx) that are skipped before a response; more of them count as endless.
+constexpr int max_interim_responses = 16;
 //! From this number of bytes on a body is received through a larger buffer.
 constexpr std::size_t long_body_bytes = std::size_t{16} * 1024;
 constexpr std::size_t long_body_buffer_bytes = std::size_t{16} * 1024;
@@ -31,6 +33,11 @@
 //! treats `boost::none` as zero if the response has a Content-Length.
 constexpr std::uint64_t unlimited_body = std::numeric_limits<std::uint64_t>::max();
 
+//! RFC 9110, 15.2: a client reads on after an interim response, whether or not it expected one.
+bool is_interim(unsigned status) {
+    return status >= 100 && status < 200;
+}
+
 //! Parses the `timeout=` parameter (seconds) of a Keep-Alive header; none if it is missing.
 std::optional<milliseconds> parse_keep_alive_timeout(const http::fields& headers) {
     const auto value = headers[http::field::keep_alive];
@@ -136,7 +143,7 @@
     co_return failed;
 }
 
-task<error_code> client_exchange::read_head() {
+task<error_code> client_exchange::read_any_head() {
     parser_.emplace();
     body_bytes_ = 0;
     parser_->body_limit(unlimited_body);
@@ -148,6 +155,19 @@
     co_return failed;
 }
 
+task<error_code> client_exchange::read_head() {
+    for (int interim = 0; interim <= max_interim_responses; ++interim) {
+        const error_code failed = co_await read_any_head();
+        if (failed || !is_interim(head().result_int())) {
+            co_return failed;
+        }
+        if (head().result() == http::status::switching_protocols) {
+            break;  // what follows isn't HTTP
+        }
+    }
+    co_return http::error::bad_status;
+}
+
 task<error_code> client_exchange::read_some(std::span<char> into, std::size_t& count) {
     auto& body = parser_->get().body();
     body.data = into.data();
--- a/src/http_exchange/client_exchange.h
+++ b/src/http_exchange/client_exchange.h
@@ -89,6 +89,8 @@
     struct writing;
 
     task<error_code> step();
+    //! Reads the next head, that of an interim response included.
+    task<error_code> read_any_head();
     //! True unless the connection was reset before the end of a response without a length.
     task<bool> has_ended_in_order();
 
