--- a/src/http_exchange/connection.h
+++ b/src/http_exchange/connection.h
@@ -5,6 +5,7 @@
 #include "types/errors.h"
 #include "types/progress_limit.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -42,12 +43,12 @@
     //! Received bytes that aren't parsed yet. Its maximum size bounds what a message may hold
     //! beside its body.
     beast::flat_buffer buffer{max_response_head_bytes};
-    std::string address;              //!< IP:PORT of the peer; empty for accepted connections
-    instant idle_since{};             //!< time of the release to the pool
-    milliseconds idle_limit{0};       //!< longest idle time after which the connection is reused
-    bool is_reused{false};            //!< carried another exchange before
-    std::size_t last_result_hash{0};  //!< hash of the last stage response; see `stage_driver`
-    std::size_t received_bytes{0};    //!< by all exchanges so far
+    std::string address;         //!< IP:PORT of the peer; empty for accepted connections
+    instant idle_since{};        //!< time of the release to the pool
+    milliseconds idle_limit{0};  //!< longest idle time after which the connection is reused
+    bool is_reused{false};       //!< carried another exchange before
+    std::deque<std::size_t> result_hashes{};  //!< of the stage responses; see `stage_driver`
+    std::size_t received_bytes{0};            //!< by all exchanges so far
     bool is_closed{false};
     bool timed_out{false};  //!< a `time_limit` has passed
     //! The connection ends after the response, or the beginning of one, that was sent last.
--- a/src/stage_calls/stage_driver.cpp
+++ b/src/stage_calls/stage_driver.cpp
@@ -21,6 +21,8 @@
 //! Period of the packing agent's time-outs: overdue calls, unresponsive packers, and jobs that
 //! can't meet their deadline.
 constexpr milliseconds tick_period{50};
+//! Responses of a connection that are recognized when they come once more.
+constexpr std::size_t max_result_hashes = 1024;
 
 std::string_view event_name(peer_status status) {
     switch (status) {
@@ -53,10 +55,22 @@
     });
 }
 
+//! Hashes are compared within this process only.
 std::size_t hash_of(const std::string& body) {
     return std::hash<std::string>{}(body);
 }
 
+bool was_received(const connection& from, const std::string& body) {
+    return std::ranges::find(from.result_hashes, hash_of(body)) != from.result_hashes.end();
+}
+
+void record_received(connection& from, const std::string& body) {
+    if (from.result_hashes.size() == max_result_hashes) {
+        from.result_hashes.pop_front();
+    }
+    from.result_hashes.push_back(hash_of(body));
+}
+
 }  // namespace
 
 stage_driver::stage_driver(asio::io_context& loop, member self, decision_log& log,
@@ -141,10 +155,10 @@
         co_return;
     }
     const connection_ptr& used = found.value();
-    // Responses to calls carry no id. Results are unique, so a body that comes again belongs to the
-    // call before.
+    // Responses to calls carry no id. Results are unique, so a body that comes again belongs to an
+    // earlier call.
     const response_filter is_new = [used](const auto& response) {
-        return !used->is_reused || hash_of(response.body()) != used->last_result_hash;
+        return !was_received(*used, response.body());
     };
     exchange_reply reply =
         co_await exchange(used, protocol_.make_run_request(call),
@@ -168,7 +182,7 @@
     const auto outcomes =
         status == 200 ? protocol_.decode_outcomes(reply.response.body()) : std::nullopt;
     if (outcomes && has_results(*outcomes)) {
-        used->last_result_hash = hash_of(reply.response.body());
+        record_received(*used, reply.response.body());
         connections_.release(used);
     } else {
         // Without results, a repetition of this response would look like the next call's response.
