--- a/src/packing/tests/packer_tests.cpp
+++ b/src/packing/tests/packer_tests.cpp
@@ -198,6 +198,21 @@
     CHECK_TRUE(rejected[0].retry_after >= 1000ms);
 }
 
+// Guards against a call that counts as complete before it begins, as its time doesn't fit an
+// integer.
+TEST(packer, a_job_whose_calls_take_longer_than_any_deadline_is_rejected_at_once) {
+    // GIVEN a pool whose configured time of a call is beyond all bounds
+    stage_limits limits = make_limits();
+    limits.call_ms = 1e300;
+    packer state;
+    reduce(state, pool_changed{limits, {make_upstream("a"), make_upstream("b")}}, start);
+    // WHEN a job comes
+    const auto effects = reduce(state, job_submitted{make_job(1, 4)}, start);
+    // THEN it isn't called but rejected
+    LONGS_EQUAL(0, all_of<make_call>(effects).size());
+    LONGS_EQUAL(1, all_of<job_rejected>(effects).size());
+}
+
 TEST(packer, results_use_memory_of_their_upstream_until_they_are_released) {
     // GIVEN an upstream with memory for 11 results of 3 MB that holds 8 of them
     packer state = make_packer({make_upstream("u1")});
