--- a/standins/object_api/object_api.cpp
+++ b/standins/object_api/object_api.cpp
@@ -266,7 +266,11 @@
 object_api::object_api(std::unique_ptr<impl> implementation) : impl_(std::move(implementation)) {}
 
 object_api::~object_api() {
-    impl_->stopping = true;
+    {
+        // Without the lock, a thread between its check and its wait would miss the notification.
+        const std::lock_guard lock(impl_->mutex);
+        impl_->stopping = true;
+    }
     impl_->changed.notify_all();
     impl_->server->stop();
 }
--- a/standins/upstream/tests/upstream_tests.cpp
+++ b/standins/upstream/tests/upstream_tests.cpp
@@ -123,6 +123,19 @@
     UNSIGNED_LONGS_EQUAL(1, truth["crashes"].get<unsigned>());
 }
 
+// Guards against a stop whose notification is lost, so that the supervisor waits for ever.
+TEST(upstream_responses, an_upstream_that_is_stopped_as_it_starts_ends) {
+    // GIVEN upstreams whose supervisors are about to wait
+    const auto settings = parse_upstream_settings("id=E1,pool=engines,kind=engine,zone=z");
+    for (int i = 0; i < 30; ++i) {
+        auto engine = std::move(upstream::start(settings.value()).value());
+        // WHEN each is stopped at once
+        engine.reset();
+        // THEN it ends
+        CHECK_TRUE(engine == nullptr);
+    }
+}
+
 TEST(upstream_responses, malformed_settings_are_rejected) {
     for (const char* text : {"", "id=E1", "pool=p", "id=E1,pool=p,kind=tank", "id=E1,pool=p,x=1",
                              "id=E1,pool=p,capacity=-1", "id=E1,pool=p,capacity=8x", "id"}) {
--- a/standins/upstream/upstream.cpp
+++ b/standins/upstream/upstream.cpp
@@ -160,7 +160,11 @@
 upstream::upstream(std::unique_ptr<impl> implementation) : impl_(std::move(implementation)) {}
 
 upstream::~upstream() {
-    impl_->shared.stopping = true;
+    {
+        // Without the lock, a thread between its check and its wait would miss the notification.
+        const std::lock_guard lock(impl_->shared.mutex);
+        impl_->shared.stopping = true;
+    }
     impl_->shared.changed.notify_all();
     impl_->supervisor.join();
     impl_->server->stop();
