--- a/src/coordination/roster/tests/roster_tests.cpp
+++ b/src/coordination/roster/tests/roster_tests.cpp
@@ -247,7 +247,7 @@
     LONGS_EQUAL(1, lists_wanted(2 * env.timing.store_timeout));
 }
 
-// Guards against members of two architectures that take different ones for an owner.
+// Guards against x86-64 and arm64 instances that choose different owners.
 TEST(roster, rendezvous_weights_are_the_same_on_all_architectures) {
     // GIVEN members and keys of several lengths; WHEN they are weighed, THEN the results are fixed
     UNSIGNED_LONGLONGS_EQUAL(13541275757435531382U, rendezvous_weight({"i-1"}, "share/w"));
--- a/src/http_exchange/tcp_options.cpp
+++ b/src/http_exchange/tcp_options.cpp
@@ -41,7 +41,7 @@
 bool is_unresponsive(int descriptor) {
     tcp_info state{};
     socklen_t size = sizeof(state);
-    // If the kernel doesn't tell, the timeout of a write detects an unresponsive peer, though
+    // Without TCP_INFO, the timeout of a write detects an unresponsive peer, though
     // later.
     return getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &state, &size) == 0 &&
            state.tcpi_unacked > 0 && state.tcpi_last_ack_recv > unacknowledged_timeout_ms;
--- a/src/packing/tests/packer_tests.cpp
+++ b/src/packing/tests/packer_tests.cpp
@@ -198,8 +198,7 @@
     CHECK_TRUE(rejected[0].retry_after >= 1000ms);
 }
 
-// Guards against a call that counts as complete before it begins, as its time doesn't fit an
-// integer.
+// Guards against a call time that overflows to a negative one.
 TEST(packer, a_job_whose_calls_take_longer_than_any_deadline_is_rejected_at_once) {
     // GIVEN a pool whose configured time of a call is beyond all bounds
     stage_limits limits = make_limits();
--- a/src/types/numeric.h
+++ b/src/types/numeric.h
@@ -18,7 +18,7 @@
 //! overflow.
 inline constexpr milliseconds max_time{std::chrono::hours(24 * 365 * 100)};
 
-//! The integer next to `value` in the direction of 0.
+//! `value` without its fraction.
 template <std::integral T>
 T truncate_to(double value) {
     if (std::isnan(value)) {
