--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -377,6 +377,18 @@
     apply_known_limit(known, max_per_second, now);
 }
 
+bool has_load_control(const placement_state& state, const pool_name& pool) {
+    return state.settings.under_pressure || state.pools_with_work_time.contains(pool);
+}
+
+void record_load(placement_state& state, const pool_name& pool, const upstream_id& from,
+                 const load_report& report, instant now) {
+    if (report.work_time_percent) {
+        state.pools_with_work_time.insert(pool);
+    }
+    record_load(state, from, report, now);
+}
+
 void record_load(placement_state& state, const upstream_id& from, const load_report& report,
                  instant now) {
     upstream_record& record = state.records[from];
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -31,6 +31,9 @@
     int running{0};  //!< requests in progress
     int waiting{0};  //!< queued requests
     int slots{1};    //!< requests that can run at the same time
+    //! Time that work takes on the upstream's machine at the moment, in percent of the usual; none
+    //! if the upstream doesn't tell it.
+    std::optional<int> work_time_percent{};
 };
 
 //! What this instance has recorded of one upstream.
@@ -54,7 +57,8 @@
     double cold_overshoot{1.5};
     //! Requests per second added to the rate of a cold upstream, after the factor.
     double cold_extra_rate{5};
-    std::string address;  //!< address of this instance in the list of members
+    std::string address;         //!< address of this instance in the list of members
+    bool under_pressure{false};  //!< the deployment expects more demand than room in all pools
 };
 
 //! Instances that share the rates of upstreams. An instance that has left still counts until its
@@ -73,6 +77,8 @@
     double error_rate{0};  //!< smoothed fraction of error responses of all upstreams
     sharing_members sharing;
     std::map<pool_name, double> mean_prompt_tokens;  //!< smoothed, by pool
+    //! Pools whose upstreams report how long work takes at the moment.
+    std::set<pool_name> pools_with_work_time;
 };
 
 struct placement_request {
@@ -124,6 +130,12 @@
 //! Records a limit that another instance has learned of; none: the limit has ended.
 void record_known_limit(placement_state& state, const serving_upstream& from,
                         std::optional<double> max_per_second, instant now);
+//! True if load control is in force for the pool: the deployment calls for it, or upstreams of the
+//! pool report that they share their machines.
+bool has_load_control(const placement_state& state, const pool_name& pool);
+//! Records a load report of an upstream of the pool.
+void record_load(placement_state& state, const pool_name& pool, const upstream_id& from,
+                 const load_report& report, instant now);
 //! Records a load report.
 void record_load(placement_state& state, const upstream_id& from, const load_report& report,
                  instant now);
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -81,6 +81,23 @@
     CHECK_TRUE(later->id == first->id);
 }
 
+// Guards against load control in deployments that don't call for it.
+TEST(placement, load_control_takes_a_report_of_the_work_time_or_the_deployments_setting) {
+    // GIVEN a pool whose upstreams report no work time
+    placement_state state;
+    record_load(state, pool, {"a"}, {1, 0, 8}, start);
+    // THEN load control isn't in force
+    CHECK_FALSE(has_load_control(state, pool));
+    // WHEN one reports it
+    record_load(state, pool, {"a"}, {1, 0, 8, 150}, start);
+    // THEN load control is in force in that pool alone
+    CHECK_TRUE(has_load_control(state, pool));
+    CHECK_FALSE(has_load_control(state, {"other"}));
+    // AND everywhere if the deployment calls for it
+    state.settings.under_pressure = true;
+    CHECK_TRUE(has_load_control(state, {"other"}));
+}
+
 TEST(placement, an_upstream_is_avoided_for_a_while_after_a_broken_request) {
     // GIVEN two upstreams, one of which closed the connection during a request
     placement_state state;
--- a/src/serving/stage_graph.cpp
+++ b/src/serving/stage_graph.cpp
@@ -138,6 +138,17 @@
     return unneeded;
 }
 
+bool lacks_final_results(const stage_graph& graph) {
+    for (std::size_t i = 0; i < graph.stages.size(); ++i) {
+        const graph_stage& stage = graph.stages[i];
+        if (stage.state == stage_state::completed && stage.pieces > 0 && stage.results.empty() &&
+            is_final(graph, i)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void restart(stage_graph& graph) {
     for (graph_stage& stage : graph.stages) {
         stage.state = stage_state::waiting;
--- a/src/serving/stage_graph.h
+++ b/src/serving/stage_graph.h
@@ -78,6 +78,9 @@
 //! Removes and returns the results of all stages.
 std::vector<unneeded_results> release_all_results(stage_graph& graph);
 
+//! Returns true if results that the request itself uses were released after its stages completed.
+bool lacks_final_results(const stage_graph& graph);
+
 //! Resets all stages to waiting, after a result was lost together with the upstream that held it.
 void restart(stage_graph& graph);
 
