Fair queueing among workspaces in the packer of a stage pool

Cause: a workspace at many times its usual rate displaced all others of a stage pool, as the packer ranked jobs by lateness, depth, priority and deadline alone.

Change: jobs carry their workspace where load control is in force for the route's pool. The module fair_shares accounts recently called work by workspace with exponential decay and derives a max-min fair level; waiting jobs beyond it rank behind the others of the same lateness and depth. Queueing times move from packer.cpp to a file of their own. The codec rejected messages that lack a field with a default (crash_key, now workspace), so that jobs of earlier versions were dropped; it accepts them now.

--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -123,10 +123,12 @@
     return {error_kind::invalid, std::move(text)};
 }
 
+//! A field that the input lacks is one that an earlier version doesn't send: decoding has failed
+//! for the others.
 bool object_matches(const nlohmann::json& input, const nlohmann::json& reencoded) {
     for (const auto& [name, value] : reencoded.items()) {
         const auto found = input.find(name);
-        if (found == input.end() || !detail::matches_reencoded(*found, value)) {
+        if (found != input.end() && !detail::matches_reencoded(*found, value)) {
             return false;
         }
     }
--- a/src/codec/internal/json_messages.h
+++ b/src/codec/internal/json_messages.h
@@ -64,11 +64,11 @@
                                               {pieces_verdict::no_upstream, "no_upstream"},
                                               {pieces_verdict::not_ready, "not_ready"},
                                               {pieces_verdict::returned, "returned"}})
-// Instances of an earlier version don't send the crash key.
+// Instances of an earlier version don't send the crash key or the workspace.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(pieces_request, number, pool, request, stage,
                                                 pieces, key, inputs, result_bytes, aim_in,
                                                 needed_in, priority, depth, zone, bytes_to_zone,
-                                                address, crash_key)
+                                                address, crash_key, workspace)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_cancel, pool, number)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_withdraw, pool, number)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_release, pool, results)
--- a/src/codec/tests/codec_tests.cpp
+++ b/src/codec/tests/codec_tests.cpp
@@ -41,6 +41,9 @@
     samples.push_back(upstream_limit_notice{{"u"}, 1'700'000'000'000, true, 1.2});
     samples.push_back(origins_request{a, 7, {"0123456789ab"}});
     samples.push_back(origins_reply{7, {{"0123456789ab", {"p"}, {"v1"}}}});
+    pieces_request job;
+    job.workspace = {"w"};
+    samples.push_back(job);
     samples.push_back(suspects_notice{{{{"f"}, {"i1", "i2"}, true}}});
     return samples;
 }
@@ -102,6 +105,31 @@
     }
 }
 
+// Guards against jobs that are lost between instances of different versions.
+TEST(codec, processes_that_do_not_know_the_workspace_of_a_job_understand_the_others) {
+    // GIVEN a job with a workspace
+    pieces_request job;
+    job.number = 7;
+    job.workspace = {"w"};
+    auto wire = nlohmann::json::from_msgpack(encode_message(job));
+    const std::size_t fields = wire.size();
+    // WHEN it is sent by a process that doesn't know the field
+    for (auto field = wire.begin(); field != wire.end();) {
+        field = field.value() == "w" ? wire.erase(field) : std::next(field);
+    }
+    LONGS_EQUAL(fields - 1, wire.size());
+    const auto without = decode_message(pack(wire));
+    // THEN it is a job without a workspace
+    CHECK_TRUE(without.has_value());
+    LONGS_EQUAL(7, std::get<pieces_request>(without.value()).number);
+    CHECK_TRUE(std::get<pieces_request>(without.value()).workspace.empty());
+    // WHEN a message has a field that this process doesn't know, THEN the field is ignored
+    wire["field_of_a_later_version"] = 1;
+    const auto later = decode_message(pack(wire));
+    CHECK_TRUE(later.has_value());
+    LONGS_EQUAL(7, std::get<pieces_request>(later.value()).number);
+}
+
 TEST(codec, every_field_name_takes_one_byte_on_the_wire) {
     for (const auto& message : sample_messages()) {
         // GIVEN an encoded message
--- a/src/packing/internal/selection.h
+++ b/src/packing/internal/selection.h
@@ -5,6 +5,10 @@
 
 namespace cyclamenmount::detail {
 
+//! Longest backoff of an upstream after failed calls; also the wait that is reported while no
+//! upstream is usable.
+inline constexpr milliseconds max_backoff{2000};
+
 //! Nominal duration of a call with this many pieces, from the limits of the pool.
 milliseconds call_duration(const stage_limits& limits, int pieces);
 
@@ -45,7 +49,10 @@
                                         const job_queue& queue, instant now);
 
 //! Expected completion time of a job submitted now, after all more urgent jobs.
-instant expected_end(const packer& state, const stage_job& job, instant now);
+instant expected_end(const packer& state, const stage_job& job, bool is_beyond_share, instant now);
+
+//! Work of the waiting jobs of the same workspace that rank before the job, in full calls.
+double work_before_in_workspace(const packer& state, const stage_job& job, instant now);
 
 //! Expected completion time of a job that has missed its soft deadline, from the time at which all
 //! work ahead of it now would be completed. On-time jobs that arrive later go before it.
--- a/src/packing/packer.cpp
+++ b/src/packing/packer.cpp
@@ -1,5 +1,6 @@
 #include "packing/packer.h"
 
+#include "packing/internal/job_shares.h"
 #include "packing/internal/selection.h"
 #include "types/numeric.h"
 #include "types/overloaded.h"
@@ -18,9 +19,8 @@
 //! trip; its pieces are then requeued for other upstreams.
 constexpr double overdue_factor = 2.0;
 constexpr milliseconds overdue_slack{100};
-//! Backoff of an upstream after a failed call; doubles from the first to the longest value.
+//! Backoff of an upstream after its first failed call; doubles up to the longest value.
 constexpr milliseconds initial_backoff{250};
-constexpr milliseconds max_backoff{2000};
 //! A job fails after this many failures of its pieces.
 constexpr int max_piece_failures = 6;
 //! A job fails once this many upstreams have crashed during its calls.
@@ -36,15 +36,11 @@
 //! estimate would end in a late rejection.
 constexpr double late_job_margin = 0.3;
 constexpr milliseconds min_retry_after{50};
-//! Utilization that is assumed at most when the time is estimated in which a queue drains.
-constexpr double max_drain_utilization = 0.8;
 //! Shortest time between two release requests to an upstream that limits its request rate. Releases
 //! are collected meanwhile, which leaves more of the rate to calls.
 constexpr milliseconds limited_release_period{1500};
 //! A packer is alone at the upstreams of its pool.
 constexpr instance_rank only_packer{0, 1};
-//! Results of a job count as small if an upstream's memory holds at least this many times as much.
-constexpr std::uint64_t small_result_divisor = 64;
 
 milliseconds retry_delay(const packer& state, instant now) {
     return std::max(min_retry_after, drain_time(state, now));
@@ -169,7 +165,8 @@
     open.job = job;
     open.progress.assign(static_cast<std::size_t>(job.pieces), piece_progress::waiting);
     open.results.resize(open.progress.size());
-    instant end = detail::expected_end(state, job, now);
+    open.is_beyond_share = detail::would_be_beyond_share(state, job, now);
+    instant end = detail::expected_end(state, job, open.is_beyond_share, now);
     state.jobs.emplace(job.id, std::move(open));
     if (state.upstreams.empty()) {
         reject_job(state, job.id, pieces_verdict::no_upstream, now, out);
@@ -339,7 +336,7 @@
 }
 
 void back_off(packer_upstream& upstream, instant now) {
-    upstream.backoff = std::clamp(2 * upstream.backoff, initial_backoff, max_backoff);
+    upstream.backoff = std::clamp(2 * upstream.backoff, initial_backoff, detail::max_backoff);
     upstream.backoff_until = now + upstream.backoff;
 }
 
@@ -455,6 +452,7 @@
 void on_tick(packer& state, instant now, packer_effects& out) {
     expire_results(state, now);
     requeue_overdue_calls(state, now);
+    detail::mark_jobs_beyond_share(state, now);
     reject_infeasible_jobs(state, now, out);
 }
 
@@ -472,6 +470,7 @@
             continue;
         }
         if (queue.jobs.empty()) {
+            detail::mark_jobs_beyond_share(state, now);
             queue = detail::rank_jobs(state, now);
         }
         if (queue.waiting_pieces <= 0) {
@@ -488,6 +487,8 @@
         for (const called_piece& piece : pieces) {
             open_job& open = state.jobs.at(piece.job);
             open.progress[static_cast<std::size_t>(piece.piece)] = piece_progress::in_call;
+            record_served(state.shares, open.job.workspace,
+                          detail::work_of(state.limits, open.job, 1), now);
             call.items.push_back(make_item(open, piece.piece, now));
         }
         const auto expected_duration =
@@ -499,40 +500,8 @@
     }
 }
 
-//! Priorities whose queueing times are told apart.
-constexpr int reported_priorities = 4;
-
-//! Expected completion time of a job that ranks after all jobs of its priority that can still meet
-//! their soft deadline.
-instant queue_completion_time(const packer& state, int priority, int pieces, std::uint64_t bytes,
-                              instant now) {
-    stage_job last;
-    last.pieces = pieces;
-    last.result_bytes = bytes;
-    last.soft_deadline = instant::max();
-    last.priority = priority;
-    return detail::expected_end(state, last, now);
-}
-
-milliseconds waiting_time(const packer& state, int priority, std::uint64_t bytes, instant now) {
-    const instant end = queue_completion_time(state, priority, 1, bytes, now);
-    if (end == instant::max()) {
-        return max_backoff;
-    }
-    return std::max(end - now - detail::call_duration(state.limits, 1), 0ms);
-}
-
-//! Size of a result that doesn't count as small.
-std::uint64_t large_result_bytes(const packer& state) {
-    return std::max<std::uint64_t>(1, detail::result_capacity(state) / small_result_divisor + 1);
-}
-
 }  // namespace
 
-bool has_small_results(const stage_limits& limits, std::uint64_t bytes) {
-    return bytes * small_result_divisor <= detail::result_capacity(limits);
-}
-
 bool has_open_work(const packer& state) {
     return !state.jobs.empty() || !state.calls.empty() ||
            std::ranges::any_of(state.upstreams, [](const auto& entry) {
@@ -540,32 +509,6 @@
            });
 }
 
-queueing_times waiting_times(const packer& state, instant now) {
-    queueing_times times;
-    for (int priority = 0; priority < reported_priorities; ++priority) {
-        // The last entry stands for all lower priorities.
-        const bool is_last = priority == reported_priorities - 1;
-        const int rank = is_last ? std::numeric_limits<int>::max() : priority;
-        times.for_calls.push_back(waiting_time(state, rank, 0, now));
-        times.for_memory.push_back(waiting_time(state, rank, large_result_bytes(state), now));
-    }
-    times.until_drained = drain_time(state, now);
-    return times;
-}
-
-milliseconds drain_time(const packer& state, instant now) {
-    if (state.upstreams.empty()) {
-        return 1000ms;
-    }
-    const instant end = queue_completion_time(state, std::numeric_limits<int>::max(), 0,
-                                              large_result_bytes(state), now);
-    if (end == instant::max()) {
-        return max_backoff;
-    }
-    const double spare = 1 - std::min(detail::utilization(state, now), max_drain_utilization);
-    return to_milliseconds(static_cast<double>((end - now).count()) / spare);
-}
-
 std::vector<packer_effect> reduce(packer& state, const packer_event& incoming, instant now) {
     packer_effects out;
     std::visit(
--- a/src/packing/packer.h
+++ b/src/packing/packer.h
@@ -6,6 +6,7 @@
 //! be lost at any time, since pieces can be processed again.
 #pragma once
 
+#include "fair_shares/fair_shares.h"
 #include "packing/types/stage_job.h"
 #include "upstream_directives/upstream_directives.h"
 
@@ -164,6 +165,8 @@
     //! Upstreams that crashed during calls with pieces of the job. Such a job is called alone, so
     //! that it shows whether it is the one that crashes them.
     int crashes{0};
+    //! Waits behind the jobs that are within the shares of their workspaces.
+    bool is_beyond_share{false};
 };
 
 //! A result stored by an upstream.
@@ -223,6 +226,8 @@
     call_number last_call_number{0};
     double residence_ms{400};  //!< smoothed time from the end of a call to the release of a result
     work_rate on_time_arrivals;  //!< accepted jobs that could meet their soft deadline
+    share_ledger shares;         //!< by workspace, in full calls
+    instant shares_marked_at{};  //!< when the jobs beyond their share were marked
 };
 
 //! Expected queueing times of new jobs at a pool, by priority; the last entry stands for all lower
--- a/src/packing/packing_agent.cpp
+++ b/src/packing/packing_agent.cpp
@@ -56,6 +56,7 @@
     message.bytes_to_zone = job.bytes_to_zone;
     message.address = state.self.address;
     message.crash_key = job.crash_key;
+    message.workspace = job.workspace;
     return message;
 }
 
@@ -194,6 +195,7 @@
     job.zone = message.zone;
     job.bytes_to_zone = message.bytes_to_zone;
     job.crash_key = message.crash_key;
+    job.workspace = message.workspace;
     return job;
 }
 
--- a/src/packing/selection.cpp
+++ b/src/packing/selection.cpp
@@ -1,5 +1,6 @@
 #include "packing/internal/selection.h"
 
+#include "packing/internal/job_shares.h"
 #include "types/numeric.h"
 
 #include <algorithm>
@@ -43,30 +44,36 @@
 }
 
 //! Sort key of jobs; the smallest is served first. Jobs that can still meet their soft deadline
-//! come first, then those of requests with more completed stages, then those of higher priority.
+//! come first, then those of requests with more completed stages, then those within the shares of
+//! their workspaces, then those of higher priority.
 struct urgency {
     bool is_late;       //!< can no longer meet its soft deadline, and no call has taken a piece
     int negated_depth;  //!< minus the job's depth: requests with more completed stages sort first
+    bool is_beyond_share;
     int priority;
     instant soft_deadline;
     const job_id* id;
 
     bool operator<(const urgency& other) const {
-        return std::tie(is_late, negated_depth, priority, soft_deadline, *id) <
-               std::tie(other.is_late, other.negated_depth, other.priority, other.soft_deadline,
-                        *other.id);
+        return std::tie(is_late, negated_depth, is_beyond_share, priority, soft_deadline, *id) <
+               std::tie(other.is_late, other.negated_depth, other.is_beyond_share, other.priority,
+                        other.soft_deadline, *other.id);
     }
 };
 
-urgency urgency_of(const packer& state, const stage_job& job, instant now) {
+urgency urgency_of(const packer& state, const stage_job& job, bool is_beyond_share, instant now) {
     const auto duration = call_duration(state.limits, std::min(job.pieces, state.limits.batch));
-    return {now + duration > job.soft_deadline, -job.depth, job.priority, job.soft_deadline,
+    return {now + duration > job.soft_deadline,
+            -job.depth,
+            is_beyond_share,
+            job.priority,
+            job.soft_deadline,
             &job.id};
 }
 
 //! A started job is completed even if it is late: its results hold memory until then.
 urgency urgency_of(const packer& state, const open_job& open, instant now) {
-    urgency own = urgency_of(state, open.job, now);
+    urgency own = urgency_of(state, open.job, open.is_beyond_share, now);
     own.is_late = own.is_late && !is_started(open);
     return own;
 }
@@ -423,8 +430,24 @@
     return selected;
 }
 
-instant expected_end(const packer& state, const stage_job& job, instant now) {
-    const urgency own = urgency_of(state, job, now);
+double work_before_in_workspace(const packer& state, const stage_job& job, instant now) {
+    const urgency own = urgency_of(state, job, false, now);
+    double work = 0;
+    for (const auto& [id, open] : state.jobs) {
+        if (open.job.workspace != job.workspace) {
+            continue;
+        }
+        urgency other = urgency_of(state, open, now);
+        other.is_beyond_share = false;
+        if (other < own) {
+            work += work_of(state.limits, open.job, count_waiting_pieces(open));
+        }
+    }
+    return work;
+}
+
+instant expected_end(const packer& state, const stage_job& job, bool is_beyond_share, instant now) {
+    const urgency own = urgency_of(state, job, is_beyond_share, now);
     const auto pieces = static_cast<std::uint64_t>(std::max(job.pieces, 0));
     // A job without pieces stands for the end of the queue; the size of one result tells which.
     const bool is_small =
--- a/src/packing/tests/packing_agent_tests.cpp
+++ b/src/packing/tests/packing_agent_tests.cpp
@@ -290,3 +290,25 @@
     // AND an old report isn't used
     LONGS_EQUAL(0, reported_wait(state, pool, 2, 3'000'000, start + 700ms).count());
 }
+
+// Guards against jobs that lose their workspace on the way to the packer.
+TEST(packing_agent, the_packer_instance_accounts_the_work_of_a_workspace) {
+    // GIVEN two instances
+    const auto view = make_view({make_member("a"), make_member("b")});
+    packing_agent requester = make_requester(view);
+    packing_agent packer_instance =
+        make_packing_agent(requester.self.id.value == "a" ? "b" : "a", view);
+    // WHEN one submits a job of a workspace, and one without, as an earlier version does
+    for (const char* workspace : {"w", ""}) {
+        job_requested request = make_job_request(requester, *workspace == 0 ? 2 : 1);
+        request.job.workspace = {workspace};
+        const auto sent = all_of<send_to_peer>(reduce(requester, request, start));
+        reduce(packer_instance, packing_message_received{requester.self.id, sent.at(0).message},
+               start);
+    }
+    // THEN the packer accounts the first one alone, and serves the second one too
+    const packer& pool_packer = packer_instance.packers.at(pool);
+    LONGS_EQUAL(1, pool_packer.shares.accounts.size());
+    CHECK_TRUE(pool_packer.shares.accounts.contains({"w"}));
+    LONGS_EQUAL(2, pool_packer.jobs.size());
+}
--- a/src/packing/tests/pool_replay.cpp
+++ b/src/packing/tests/pool_replay.cpp
@@ -52,6 +52,9 @@
 public:
     packer_replay(const pool_model& pool, std::span<const submitted_job> load)
         : pool_(pool), load_(load), now_(load.front().submitted_at) {
+        for (const submitted_job& one : load) {
+            by_number_[one.job.id.number] = &one;
+        }
         pool_changed known{pool.limits, {}};
         for (const double speed : pool.speeds) {
             const std::string id = "u" + std::to_string(upstreams_.size());
@@ -120,6 +123,11 @@
             jobs_[submitted.job.request] = submitted;
             apply(reduce(state_, job_submitted{submitted.job}, now_));
         }
+        while (!due_retries_.empty() && due_retries_.begin()->first <= now_) {
+            const stage_job job = due_retries_.begin()->second->job;
+            due_retries_.erase(due_retries_.begin());
+            apply(reduce(state_, job_submitted{job}, now_));
+        }
     }
 
     void apply(const std::vector<packer_effect>& effects) {
@@ -136,8 +144,12 @@
                 if (now_ <= job.soft_deadline) {
                     ++outcome_.on_time;
                     ++outcome_.on_time_by_priority[job.priority];
+                    ++outcome_.on_time_by_label[submitted(done->id).label];
                 }
             } else if (const auto* const rejected = std::get_if<job_rejected>(&effect)) {
+                if (will_retry(*rejected)) {
+                    continue;
+                }
                 ++ended_;
                 ++outcome_.rejected;
                 outcome_.longest_rejected_wait = std::max(
@@ -147,8 +159,20 @@
         }
     }
 
+    //! Schedules another attempt of a refused job, if its caller makes one.
+    bool will_retry(const job_rejected& rejected) {
+        const stage_job& job = submitted(rejected.id).job;
+        const instant at = now_ + (pool_.retries_at_once ? step : rejected.retry_after);
+        if (retries_[job.id.number] >= pool_.retries || at > job.hard_deadline) {
+            return false;
+        }
+        ++retries_[job.id.number];
+        due_retries_.emplace(at, &submitted(rejected.id));
+        return true;
+    }
+
     const submitted_job& submitted(const job_id& id) const {
-        return *std::ranges::find(load_, id, [](const submitted_job& one) { return one.job.id; });
+        return *by_number_.at(id.number);
     }
 
     const pool_model& pool_;
@@ -157,6 +181,9 @@
     packer state_;
     std::map<std::string, model_upstream> upstreams_;
     std::map<std::string, submitted_job> jobs_;  // by request
+    std::map<std::uint64_t, const submitted_job*> by_number_;
+    std::map<std::uint64_t, int> retries_;  // by job number
+    std::multimap<instant, const submitted_job*> due_retries_;
     std::size_t next_{0};
     std::size_t ended_{0};
     std::uint64_t last_handle_{0};
@@ -206,7 +233,10 @@
                     {job->submitted->job.result_bytes, now + pool.residence, ""});
                 if (--job->open == 0) {
                     ++outcome.completed;
-                    outcome.on_time += now <= job->submitted->job.soft_deadline ? 1 : 0;
+                    if (now <= job->submitted->job.soft_deadline) {
+                        ++outcome.on_time;
+                        ++outcome.on_time_by_label[job->submitted->label];
+                    }
                 }
             }
             calls[u].pieces.clear();
--- a/src/packing/tests/pool_replay.h
+++ b/src/packing/tests/pool_replay.h
@@ -3,7 +3,9 @@
 
 #include "packing/packer.h"
 
+#include <map>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace cyclamenmount::testing {
@@ -13,11 +15,14 @@
     stage_limits limits{8, 150, 16, 36, 4000ms};
     std::vector<double> speeds{1, 1, 1};  //!< duration factor of each upstream
     milliseconds residence{500};          //!< time after its call for which a result is needed
+    int retries{0};                       //!< how often a refused caller submits its job again
+    bool retries_at_once{true};           //!< without waiting for the suggested delay
 };
 
 struct replay_outcome {
     int on_time{0};  //!< completed by the soft deadline
     std::map<int, int> on_time_by_priority;
+    std::map<std::string, int> on_time_by_label;
     int completed{0};  //!< completed at all
     int rejected{0};
     milliseconds longest_rejected_wait{0};  //!< time from the submission to a rejection
@@ -27,6 +32,7 @@
 struct submitted_job {
     instant submitted_at{};
     stage_job job;
+    std::string label{};  //!< by which the outcome counts it
 };
 
 //! Replays jobs, sorted by `submitted_at`, at a packer until all have ended.
--- a/src/packing/types/stage_job.h
+++ b/src/packing/types/stage_job.h
@@ -38,6 +38,8 @@
     int depth{0};                   //!< number of earlier stages of the request that are completed
     zone_name zone;                 //!< preferred zone; empty: no preference
     std::string crash_key;          //!< by which a request that crashes upstreams is known
+    //! Workspace whose share of the pool the job uses; empty: none, the job is in no share.
+    workspace_name workspace;
     //! Bytes transferred between zones if the job runs outside the preferred zone.
     std::uint64_t bytes_to_zone{0};
 };
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -309,6 +309,7 @@
     std::uint64_t bytes_to_zone{0};   //!< bytes sent between zones if the job runs in another zone
     std::string address;              //!< peer address of the requester, for the reply
     std::string crash_key;            //!< by which a request that crashes upstreams is known
+    workspace_name workspace;         //!< whose share of the pool the job uses; empty if none
 };
 
 //! Cancels a stage job whose request has ended.
