--- a/src/packing/handover.cpp
+++ b/src/packing/handover.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-//! Time without jobs for a peer that isn't ready: a starting process reads its configuration from
-//! the store in less time. A job sent too early costs one round trip.
-constexpr milliseconds not_ready_pause{2500};
+//! Time without jobs for a peer that isn't ready. It doubles while the peer stays so: a starting
+//! process often is ready soon after, and a job sent too early costs one round trip.
+constexpr milliseconds first_not_ready_pause{200};
+constexpr milliseconds max_not_ready_pause{2500};
 //! Age up to which a release is sent again: longer than the time in which the loss of a packer
 //! instance is detected.
 constexpr milliseconds release_memory{1500};
@@ -25,6 +26,19 @@
            (found->second.is_unresponsive || now < found->second.not_ready_until);
 }
 
+//! False if the process is known to be at another address: it replied to a job that was submitted
+//! elsewhere since.
+bool may_be_at(const packing_agent& state, const instance_id& process, const std::string& address) {
+    if (is_self(state, address)) {
+        return false;
+    }
+    if (!state.view) {
+        return true;
+    }
+    const auto known = std::ranges::find(state.view->members, process, &member::id);
+    return known == state.view->members.end() || known->address == address;
+}
+
 }  // namespace
 
 void reassign_lost_jobs(packing_agent& state, instant now, packing_agent_effects& out) {
@@ -116,17 +130,24 @@
     }
 }
 
-void on_not_ready(packing_agent& state, std::uint64_t number, instant now,
+void on_not_ready(packing_agent& state, const instance_id& from, std::uint64_t number, instant now,
                   packing_agent_effects& out) {
     const auto found = state.outstanding.find(number);
-    if (found == state.outstanding.end()) {
+    if (found == state.outstanding.end() ||
+        !may_be_at(state, from, found->second.assigned_address)) {
         return;
     }
     const std::string address = found->second.assigned_address;
     if (!is_skipped(state, address, now)) {
         out.push_back(peer_status_changed{address, peer_status::not_ready, 0ms});
     }
-    state.peers[address].not_ready_until = now + not_ready_pause;
+    peer_health& health = state.peers[address];
+    if (now >= health.not_ready_until) {
+        // Replies to several jobs sent at the same time count once.
+        health.not_ready_pause =
+            std::clamp(2 * health.not_ready_pause, first_not_ready_pause, max_not_ready_pause);
+        health.not_ready_until = now + health.not_ready_pause;
+    }
     resend_releases(state, address, now, out);
 }
 
--- a/src/packing/internal/agent.h
+++ b/src/packing/internal/agent.h
@@ -72,7 +72,7 @@
 
 //! Handles the reply that a packer instance isn't ready: skips the instance for a while, so that
 //! its jobs are submitted to the next one.
-void on_not_ready(packing_agent& state, std::uint64_t number, instant now,
+void on_not_ready(packing_agent& state, const instance_id& from, std::uint64_t number, instant now,
                   packing_agent_effects& out);
 
 //! Handles a ping that announces that a process is stopping: its address gets no new jobs.
--- a/src/packing/packing_agent.cpp
+++ b/src/packing/packing_agent.cpp
@@ -78,6 +78,7 @@
     peer_health& health = state.peers[found->second.assigned_address];
     health.last_reply_at = now;
     health.unanswered_since = {};
+    health.not_ready_pause = 0ms;
     state.outstanding.erase(found);
     reply.number = number;
     out.push_back(job_ended{number, std::move(reply)});
@@ -304,7 +305,7 @@
             },
             [&](const pieces_reply& reply) {
                 if (reply.verdict == pieces_verdict::not_ready) {
-                    detail::on_not_ready(state, reply.number, now, out);
+                    detail::on_not_ready(state, received.from, reply.number, now, out);
                     return;
                 }
                 detail::end_job(state, reply.number, reply, now, out);
--- a/src/packing/packing_agent.h
+++ b/src/packing/packing_agent.h
@@ -119,7 +119,8 @@
     instant unanswered_since{};  //!< time of the first unanswered ping; zero if there is none
     instant last_ping_at{};
     bool is_unresponsive{false};
-    instant not_ready_until{};  //!< gets no jobs until then: it had no list of upstreams
+    instant not_ready_until{};        //!< gets no jobs until then: it had no list of upstreams
+    milliseconds not_ready_pause{0};  //!< last time without jobs for that; zero once it ended a job
     //! Process at the address that is stopping; empty once another process is known there.
     instance_id stopping_process;
     std::deque<std::uint64_t> ping_sequences;  //!< sequence numbers of recent pings
--- a/src/packing/tests/packing_agent_tests.cpp
+++ b/src/packing/tests/packing_agent_tests.cpp
@@ -221,6 +221,63 @@
     CHECK_TRUE(all_of<peer_status_changed>(reassigned).at(0).status == peer_status::not_ready);
 }
 
+// Guards against jobs that stay away for seconds from a packer instance that started a moment later
+// than the others, as after a loss of power of all instances.
+TEST(packing_agent, a_packer_instance_that_was_not_ready_soon_gets_jobs_again) {
+    // GIVEN a packer instance that had no list of upstreams when two jobs reached it
+    const auto view = make_view({make_member("a"), make_member("b")});
+    packing_agent requester = make_requester(view);
+    const std::string assigned_address = packer_address(requester, pool, start);
+    pieces_reply not_ready;
+    not_ready.verdict = pieces_verdict::not_ready;
+    for (const std::uint64_t number : {1, 2}) {
+        reduce(requester, make_job_request(requester, number), start);
+    }
+    for (const std::uint64_t number : {1, 2}) {
+        not_ready.number = number;
+        reduce(requester, packing_message_received{{"p"}, not_ready}, start + 2ms);
+    }
+    CHECK_FALSE(packer_address(requester, pool, start + 100ms) == assigned_address);
+    // WHEN a quarter of a second has passed
+    const instant later = start + 250ms;
+    // THEN it gets jobs again
+    CHECK_TRUE(packer_address(requester, pool, later) == assigned_address);
+    // AND the pause grows while it stays as it is
+    reduce(requester, make_job_request(requester, 3), later);
+    not_ready.number = 3;
+    reduce(requester, packing_message_received{{"p"}, not_ready}, later + 2ms);
+    CHECK_FALSE(packer_address(requester, pool, later + 350ms) == assigned_address);
+    CHECK_TRUE(packer_address(requester, pool, later + 450ms) == assigned_address);
+}
+
+// Guards against ready instances that get no jobs since another one replied to several jobs that it
+// isn't ready: the first reply has moved all of them to the next instance.
+TEST(packing_agent, only_the_instance_that_replied_counts_as_not_ready) {
+    // GIVEN two jobs at a packer instance that isn't ready, one of three instances
+    const auto view = make_view({make_member("a"), make_member("b"), make_member("c")});
+    packing_agent requester = make_packing_agent("a", view);
+    if (packer_address(requester, pool, start) == requester.self.address) {
+        requester = make_packing_agent("b", view);
+    }
+    const std::string assigned_address = packer_address(requester, pool, start);
+    const auto packer_instance =
+        std::ranges::find(view->members, assigned_address, &member::address);
+    for (const std::uint64_t number : {1, 2}) {
+        reduce(requester, make_job_request(requester, number), start);
+    }
+    // WHEN it replies so to both
+    pieces_reply not_ready;
+    not_ready.verdict = pieces_verdict::not_ready;
+    not_ready.number = 1;
+    reduce(requester, packing_message_received{packer_instance->id, not_ready}, start + 2ms);
+    const std::string next_address = packer_address(requester, pool, start + 2ms);
+    not_ready.number = 2;
+    reduce(requester, packing_message_received{packer_instance->id, not_ready}, start + 2ms);
+    // THEN the next instance still gets jobs
+    CHECK_FALSE(next_address == assigned_address);
+    CHECK_TRUE(packer_address(requester, pool, start + 3ms) == next_address);
+}
+
 TEST(packing_agent, an_unresponsive_packer_instance_gets_no_jobs_until_it_replies_to_a_ping) {
     // GIVEN a packer instance that is cut off while jobs arrive steadily
     const auto view = make_view({make_member("a"), make_member("b")});
