--- a/src/store_sync/store_sync.cpp
+++ b/src/store_sync/store_sync.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds reply_timeout{600};
 //! Time between requests that detect the recovery of a skipped source.
 constexpr milliseconds retry_period{2000};
+//! The same for a source that has never replied: it may have started with this instance.
+constexpr milliseconds first_retry_period{600};
 //! An instance without requests from peers for this long stops reading the store for them.
 constexpr milliseconds stop_serving_after{2000};
 //! Time between calls to an unreachable store of an instance without a responsive source. With one,
@@ -53,13 +55,8 @@
     return sum;
 }
 
-//! Applies a page if it begins at or before the known version and ends after it.
-void apply_page(topic_state& topic, const std::string& name, const change_page& page,
-                bool is_readable, sync_effects& out) {
-    if (page.base > topic.version || page.version <= topic.version) {
-        return;
-    }
-    topic.version = page.version;
+//! Keeps a page for peers.
+void keep_page(topic_state& topic, const change_page& page) {
     if (page.base <= topic.complete_from) {
         topic.pages.clear();
         topic.complete_from = page.base;
@@ -73,6 +70,16 @@
         topic.complete_from = topic.pages.front().version;
         topic.pages.pop_front();
     }
+}
+
+//! Applies a page if it begins at or before the known version and ends after it.
+void apply_page(topic_state& topic, const std::string& name, const change_page& page,
+                bool is_readable, sync_effects& out) {
+    if (page.base > topic.version || page.version <= topic.version) {
+        return;
+    }
+    topic.version = page.version;
+    keep_page(topic, page);
     if (!page.text.empty()) {
         topic.is_readable = is_readable;
         out.push_back(page_accepted{name, page});
@@ -109,13 +116,21 @@
 
 void apply_list(store_sync& state, const topic_listed& listed, sync_effects& out) {
     topic_state& topic = state.topics[listed.topic];
+    const bool continues = listed.difference && topic.is_known && topic.is_readable &&
+                           listed.is_readable && listed.difference->base == topic.version &&
+                           listed.difference->version == listed.version;
     topic.is_known = true;
     if (listed.version >= topic.version) {
+        const bool is_newer = listed.version > topic.version;
         topic.version = listed.version;
         topic.is_readable = listed.is_readable;
-        topic.pages.clear();
-        topic.complete_from = listed.version;
-        if (!listed.text.empty() && listed.text.size() <= max_page_bytes) {
+        if (!continues) {
+            topic.pages.clear();
+            topic.complete_from = listed.version;
+        } else if (is_newer) {
+            keep_page(topic, *listed.difference);
+        }
+        if (!continues && !listed.text.empty() && listed.text.size() <= max_page_bytes) {
             topic.complete_from = first_version(listed.version);
             topic.pages.push_back({topic.complete_from, listed.version, listed.text});
         }
@@ -155,6 +170,9 @@
 //! Polls the highest-ranked source that isn't skipped. While it is stale, the next one is polled
 //! too. Skipped sources are polled at a longer period.
 void poll_sources(store_sync& state, instant now, sync_effects& out) {
+    if (!state.can_send) {
+        return;
+    }
     bool has_fresh = false;  // an active source with fresh data was found
     for (source_state& source : state.sources) {
         const milliseconds time_since_request = now - source.request_sent_at;
@@ -166,8 +184,10 @@
         const bool is_stale = source.stale_since != instant{};
         has_fresh = has_fresh || (is_active && !is_stale);
         const milliseconds usual_period = is_stale ? stale_request_period : request_period;
+        const bool has_replied = source.reply_received_at != instant{};
+        const milliseconds skipped_period = has_replied ? retry_period : first_retry_period;
         const bool is_due =
-            time_since_request >= (source.is_skipped ? retry_period : usual_period) &&
+            time_since_request >= (source.is_skipped ? skipped_period : usual_period) &&
             (is_active || source.is_skipped);
         if ((source.open_sequence == 0 || is_overdue) && is_due) {
             send_request(state, source, now, out);
@@ -175,6 +195,13 @@
     }
 }
 
+//! True if a source that isn't skipped may soon confirm the topic for the first time.
+bool awaits_first_reply(const store_sync& state, const topic_state& topic) {
+    return topic.source_confirmed_at == instant{} &&
+           std::ranges::any_of(state.sources,
+                               [](const source_state& source) { return !source.is_skipped; });
+}
+
 //! Replies to a peer with the known versions, their age, and the changes that the peer lacks.
 void send_reply(store_sync& state, const news_request& request, instant now, sync_effects& out) {
     state.last_peer_request_at = now;
@@ -274,8 +301,16 @@
         return true;
     }
     const auto found = state.topics.find(topic);
-    return found == state.topics.end() || !found->second.is_known ||
-           now - found->second.source_confirmed_at >= derive_stale_after(state.bounds);
+    if (found == state.topics.end() || !found->second.is_known) {
+        return true;
+    }
+    const topic_state& known = found->second;
+    const milliseconds stale_after = derive_stale_after(state.bounds);
+    if (awaits_first_reply(state, known)) {
+        // What this instance read itself is as good as a reply of the same age.
+        return now - known.confirmed_at >= std::min(source_stale_after, stale_after);
+    }
+    return now - known.source_confirmed_at >= stale_after;
 }
 
 bool has_fresh_source(const store_sync& state, instant now) {
@@ -305,6 +340,10 @@
             },
             [&](const sync_replied& replied) { apply_reply(state, replied.reply, now, out); },
             [&](const sync_tick&) { poll_sources(state, now, out); },
+            [&](const sync_network_started&) {
+                state.can_send = true;
+                poll_sources(state, now, out);
+            },
         },
         happened);
     return out;
--- a/src/store_sync/store_sync.h
+++ b/src/store_sync/store_sync.h
@@ -49,6 +49,9 @@
     //! The list as a page that holds the topic's whole state, to forward it to peers; empty if it
     //! can't be forwarded.
     std::string text{};
+    //! Changes from the known version to the list, if the store dropped their history: peers that
+    //! know an earlier version then needn't read the list as well. None if they aren't known.
+    std::optional<change_page> difference{};
 };
 
 //! A watch of the store returned the changes after `page.base`; the text is empty if there are
@@ -74,8 +77,11 @@
 //! Periodic event that sends requests to sources.
 struct sync_tick {};
 
+//! Messages can be sent to peers from now on.
+struct sync_network_started {};
+
 using sync_event = std::variant<sync_members_changed, topic_listed, topic_watched, sync_requested,
-                                sync_replied, sync_tick>;
+                                sync_replied, sync_tick, sync_network_started>;
 
 // --- effects ------------------------------------------------------------------------------------
 
@@ -148,6 +154,8 @@
     sync_bounds bounds;
     member self;                                //!< the local member
     std::map<std::string, topic_state> topics;  //!< by name
+    //! False: no request is sent, as it would be lost and its source count as unresponsive.
+    bool can_send{true};
     bool uses_sources{false};           //!< the fleet is large enough to read through sources
     std::vector<source_state> sources;  //!< sources, highest rank first
     instant last_peer_request_at{};     //!< last request of any peer for updates
