Reported waits tell jobs within the share of their workspace from those beyond it

Cause: a packer reported one wait for all, so that instances admitted requests of a flood on the short wait of others, or refused others for the flood's.

Change: replies to stage jobs carry a second set of waits, and the workspaces to which it applies (at most 16). Stage admission, soft deadlines and the suggested time to return use the set of the request's workspace where load control is in force.

--- a/src/codec/field_names.cpp
+++ b/src/codec/field_names.cpp
@@ -10,7 +10,7 @@
 
 //! The index of a name determines its one-byte wire form: append new names at the end, and never
 //! remove or reorder any.
-constexpr std::array<std::string_view, 90> field_names = {"kind",
+constexpr std::array<std::string_view, 92> field_names = {"kind",
                                                           "from",
                                                           "sequence",
                                                           "versions",
@@ -99,7 +99,9 @@
                                                           "drained_in",
                                                           "limited",
                                                           "crash_key",
-                                                          "streams"};
+                                                          "streams",
+                                                          "beyond_share",
+                                                          "workspaces"};
 
 constexpr char first_short_name = '!';
 constexpr char last_printable = '~';
--- a/src/codec/internal/json_messages.h
+++ b/src/codec/internal/json_messages.h
@@ -72,10 +72,12 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_cancel, pool, number)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_withdraw, pool, number)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(pieces_release, pool, results)
-// Instances of an earlier version don't send the queueing times.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(beyond_share_waits, workspaces, call_waits,
+                                                memory_waits, drained_in)
+// Instances of an earlier version don't send the queueing times, or not those beyond a share.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(pieces_reply, number, verdict, results, zone,
                                                 retry_after, pool_wait, call_waits, memory_waits,
-                                                drained_in)
+                                                drained_in, beyond_share)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(upstream_limit_notice, upstream, incarnation, limited,
                                    requests_per_second)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(topic_position, name, version)
--- a/src/packing/packer.cpp
+++ b/src/packing/packer.cpp
@@ -42,8 +42,8 @@
 //! A packer is alone at the upstreams of its pool.
 constexpr instance_rank only_packer{0, 1};
 
-milliseconds retry_delay(const packer& state, instant now) {
-    return std::max(min_retry_after, drain_time(state, now));
+milliseconds retry_delay(const packer& state, bool for_beyond_share, instant now) {
+    return std::max(min_retry_after, drain_time(state, for_beyond_share, now));
 }
 
 void record_residence(packer& state, const stored_result& stored, instant now) {
@@ -153,7 +153,9 @@
 
 void reject_job(packer& state, const job_id& id, pieces_verdict why, instant now,
                 packer_effects& out) {
-    reject_job(state, id, why, retry_delay(state, now), now, out);
+    const auto found = state.jobs.find(id);
+    const bool is_beyond = found != state.jobs.end() && found->second.is_beyond_share;
+    reject_job(state, id, why, retry_delay(state, is_beyond, now), now, out);
 }
 
 void submit_job(packer& state, const job_submitted& incoming, instant now, packer_effects& out) {
@@ -426,7 +428,7 @@
 
 void reject_infeasible_jobs(packer& state, instant now, packer_effects& out) {
     const auto min_duration = detail::call_duration(state.limits, 1);
-    std::vector<job_id> infeasible;
+    std::vector<std::pair<job_id, bool>> infeasible;  // and whether it is beyond its share
     for (const auto& [open, end] : detail::expected_ends(state, now)) {
         const stage_job& job = open->job;
         // A job past its soft deadline is served last; it is kept only while it is expected to
@@ -435,15 +437,16 @@
             end > job.soft_deadline && detail::late_end(state, job, end, now) > job.hard_deadline;
         if ((is_infeasible && !detail::is_started(*open)) ||
             now + min_duration > job.hard_deadline) {
-            infeasible.push_back(job.id);
+            infeasible.emplace_back(job.id, open->is_beyond_share);
         }
     }
     if (infeasible.empty()) {
         return;
     }
-    const milliseconds retry_after = retry_delay(state, now);
-    for (const job_id& id : infeasible) {
-        reject_job(state, id, pieces_verdict::overloaded, retry_after, now, out);
+    const milliseconds within = retry_delay(state, false, now);
+    const milliseconds beyond = retry_delay(state, true, now);
+    for (const auto& [id, is_beyond] : infeasible) {
+        reject_job(state, id, pieces_verdict::overloaded, is_beyond ? beyond : within, now, out);
     }
 }
 
--- a/src/packing/packer.h
+++ b/src/packing/packer.h
@@ -236,6 +236,9 @@
     std::vector<milliseconds> for_calls;   //!< of jobs with small results
     std::vector<milliseconds> for_memory;  //!< of jobs whose results need much of the memory
     milliseconds until_drained{0};         //!< time until late jobs are served at once
+    //! The same for jobs beyond the share of their workspace; empty if there are none. The times
+    //! above are for jobs within it.
+    beyond_share_waits beyond_share;
 };
 
 //! True if the results of a job are so small that they fit beside those that fill the memory.
@@ -252,7 +255,8 @@
 queueing_times waiting_times(const packer& state, instant now);
 
 //! Expected time until all waiting pieces of jobs that can still meet their soft deadline are
-//! completed, while others continue to arrive.
-milliseconds drain_time(const packer& state, instant now);
+//! completed, while others continue to arrive. Pieces of jobs beyond their share count only if
+//! `for_beyond_share`.
+milliseconds drain_time(const packer& state, bool for_beyond_share, instant now);
 
 }  // namespace cyclamenmount
--- a/src/packing/packing_agent.cpp
+++ b/src/packing/packing_agent.cpp
@@ -75,7 +75,7 @@
         return;
     }
     state.reported_waits[found->second.pool] = {
-        {reply.call_waits, reply.memory_waits, reply.drained_in}, now};
+        {reply.call_waits, reply.memory_waits, reply.drained_in, reply.beyond_share}, now};
     peer_health& health = state.peers[found->second.assigned_address];
     health.last_reply_at = now;
     health.unanswered_since = {};
@@ -111,6 +111,7 @@
         reply.call_waits = cached_waits->for_calls;
         reply.memory_waits = cached_waits->for_memory;
         reply.drained_in = cached_waits->until_drained;
+        reply.beyond_share = cached_waits->beyond_share;
         reply.pool_wait = std::max(reply.call_waits.back(), reply.memory_waits.back());
     };
     for (packer_effect& effect : reduce(pool_packer, incoming, now)) {
@@ -354,8 +355,17 @@
 
 }  // namespace
 
-milliseconds reported_wait(const packing_agent& state, const pool_name& pool, int priority,
-                           std::uint64_t bytes, instant now) {
+bool is_reported_beyond_share(const packing_agent& state, const pool_name& pool,
+                              const workspace_name& workspace, instant now) {
+    const queueing_times* const waits = fresh_waits(state, pool, now);
+    return waits != nullptr && !workspace.empty() &&
+           std::ranges::find(waits->beyond_share.workspaces, workspace) !=
+               waits->beyond_share.workspaces.end();
+}
+
+milliseconds reported_wait(const packing_agent& state, const pool_name& pool,
+                           const workspace_name& workspace, int priority, std::uint64_t bytes,
+                           instant now) {
     const queueing_times* const waits = fresh_waits(state, pool, now);
     if (waits == nullptr || !state.view || !state.view->config) {
         return 0ms;
@@ -365,7 +375,12 @@
         return 0ms;
     }
     const bool is_small = has_small_results(*limits->second.stage, bytes);
-    const std::vector<milliseconds>& by_priority = is_small ? waits->for_calls : waits->for_memory;
+    const bool is_beyond = is_reported_beyond_share(state, pool, workspace, now);
+    const beyond_share_waits& beyond = waits->beyond_share;
+    const std::vector<milliseconds>& for_calls = is_beyond ? beyond.call_waits : waits->for_calls;
+    const std::vector<milliseconds>& for_memory =
+        is_beyond ? beyond.memory_waits : waits->for_memory;
+    const std::vector<milliseconds>& by_priority = is_small ? for_calls : for_memory;
     if (by_priority.empty()) {
         return 0ms;
     }
@@ -373,9 +388,14 @@
     return by_priority[std::min(last, static_cast<std::size_t>(std::max(priority, 0)))];
 }
 
-milliseconds reported_drain_time(const packing_agent& state, const pool_name& pool, instant now) {
+milliseconds reported_drain_time(const packing_agent& state, const pool_name& pool,
+                                 const workspace_name& workspace, instant now) {
     const queueing_times* const waits = fresh_waits(state, pool, now);
-    return waits == nullptr ? 0ms : waits->until_drained;
+    if (waits == nullptr) {
+        return 0ms;
+    }
+    return is_reported_beyond_share(state, pool, workspace, now) ? waits->beyond_share.drained_in
+                                                                 : waits->until_drained;
 }
 
 std::string packer_address(const packing_agent& state, const pool_name& pool, instant now) {
--- a/src/packing/packing_agent.h
+++ b/src/packing/packing_agent.h
@@ -166,14 +166,21 @@
     std::deque<sent_release> recent_releases;  //!< oldest first
 };
 
-//! Queueing time of a new job with this priority and this size of all its results, as last reported
-//! by the pool's packer; 0 if the report is too old.
-milliseconds reported_wait(const packing_agent& state, const pool_name& pool, int priority,
-                           std::uint64_t bytes, instant now);
-
-//! Time until the pool's queue is expected to be empty, as last reported by its packer; 0 if the
-//! report is too old.
-milliseconds reported_drain_time(const packing_agent& state, const pool_name& pool, instant now);
+//! True if the pool's packer reported lately that a new job of the workspace would be beyond its
+//! share. Never true of an empty workspace.
+bool is_reported_beyond_share(const packing_agent& state, const pool_name& pool,
+                              const workspace_name& workspace, instant now);
+
+//! Queueing time of a new job of the workspace with this priority and this size of all its results,
+//! as last reported by the pool's packer; 0 if the report is too old.
+milliseconds reported_wait(const packing_agent& state, const pool_name& pool,
+                           const workspace_name& workspace, int priority, std::uint64_t bytes,
+                           instant now);
+
+//! Time until the pool's queue is expected to be empty for jobs of the workspace, as last reported
+//! by its packer; 0 if the report is too old.
+milliseconds reported_drain_time(const packing_agent& state, const pool_name& pool,
+                                 const workspace_name& workspace, instant now);
 
 //! Applies one event and returns the effects to carry out.
 std::vector<packing_agent_effect> reduce(packing_agent& state, const packing_agent_event& incoming,
--- a/src/packing/tests/packing_agent_tests.cpp
+++ b/src/packing/tests/packing_agent_tests.cpp
@@ -283,12 +283,12 @@
     reduce(state, packing_message_received{{"b"}, reply}, start);
     // WHEN requests of other priorities and result sizes ask for their queueing time
     // THEN the last entry stands for all lower priorities, and small results don't wait for memory
-    LONGS_EQUAL(100, reported_wait(state, pool, 0, 3'000'000, start).count());
-    LONGS_EQUAL(900, reported_wait(state, pool, 2, 3'000'000, start).count());
-    LONGS_EQUAL(40, reported_wait(state, pool, 2, 8'000, start).count());
-    LONGS_EQUAL(1200, reported_drain_time(state, pool, start).count());
+    LONGS_EQUAL(100, reported_wait(state, pool, {}, 0, 3'000'000, start).count());
+    LONGS_EQUAL(900, reported_wait(state, pool, {}, 2, 3'000'000, start).count());
+    LONGS_EQUAL(40, reported_wait(state, pool, {}, 2, 8'000, start).count());
+    LONGS_EQUAL(1200, reported_drain_time(state, pool, {}, start).count());
     // AND an old report isn't used
-    LONGS_EQUAL(0, reported_wait(state, pool, 2, 3'000'000, start + 700ms).count());
+    LONGS_EQUAL(0, reported_wait(state, pool, {}, 2, 3'000'000, start + 700ms).count());
 }
 
 // Guards against jobs that lose their workspace on the way to the packer.
@@ -312,3 +312,33 @@
     CHECK_TRUE(pool_packer.shares.accounts.contains({"w"}));
     LONGS_EQUAL(2, pool_packer.jobs.size());
 }
+
+// Guards against requests of a flood that are admitted on the short wait of others, and against
+// others that are refused for the long wait of a flood.
+TEST(packing_agent, reported_waits_depend_on_the_share_of_the_workspace) {
+    // GIVEN the report of a pool in which one workspace is beyond its share
+    packing_agent state = make_packing_agent("a", make_view({make_member("a"), make_member("b")}));
+    reduce(state, make_job_request(state, 1), start);
+    state.outstanding[1].assigned_address = "b:7";
+    pieces_reply reply;
+    reply.number = 1;
+    reply.call_waits = {10ms};
+    reply.memory_waits = {50ms};
+    reply.drained_in = 60ms;
+    reply.beyond_share = {{{"flood"}}, {700ms}, {900ms}, 1500ms};
+    reduce(state, packing_message_received{{"b"}, reply}, start);
+    // WHEN the wait of a job is asked for, THEN it is the one that applies to its workspace
+    LONGS_EQUAL(700, reported_wait(state, pool, {"flood"}, 0, 8'000, start).count());
+    LONGS_EQUAL(900, reported_wait(state, pool, {"flood"}, 0, 3'000'000, start).count());
+    LONGS_EQUAL(1500, reported_drain_time(state, pool, {"flood"}, start).count());
+    LONGS_EQUAL(10, reported_wait(state, pool, {"light"}, 0, 8'000, start).count());
+    LONGS_EQUAL(50, reported_wait(state, pool, {}, 0, 3'000'000, start).count());
+    LONGS_EQUAL(60, reported_drain_time(state, pool, {"light"}, start).count());
+    // AND an earlier version's report without the waits beyond a share applies to all
+    reduce(state, make_job_request(state, 2), start);
+    state.outstanding[2].assigned_address = "b:7";
+    reply.number = 2;
+    reply.beyond_share = {};
+    reduce(state, packing_message_received{{"b"}, reply}, start);
+    LONGS_EQUAL(50, reported_wait(state, pool, {"flood"}, 0, 3'000'000, start).count());
+}
--- a/src/packing/tests/workspace_share_tests.cpp
+++ b/src/packing/tests/workspace_share_tests.cpp
@@ -23,9 +23,11 @@
     int priority{0};
     milliseconds begins{0};
     milliseconds lasts{6000};
+    std::string kind{};  //!< kind of request; empty: told by the workspace alone
 };
 
-//! Jobs of all workspaces, sorted by their arrival; `label` names the workspace of each.
+//! Jobs of all workspaces, sorted by their arrival; `label` names the kind or the workspace of
+//! each.
 std::vector<submitted_job> make_load(std::span<const arrivals> kinds, bool with_workspaces = true) {
     std::vector<submitted_job> load;
     for (const arrivals& kind : kinds) {
@@ -33,7 +35,7 @@
             static_cast<int>(kind.per_s * static_cast<double>(kind.lasts.count()) / 1000);
         for (int i = 0; i < count; ++i) {
             submitted_job one;
-            one.label = kind.workspace;
+            one.label = kind.kind.empty() ? kind.workspace : kind.kind;
             one.submitted_at = start + kind.begins +
                                milliseconds(static_cast<std::int64_t>(i * 1000.0 / kind.per_s));
             one.job.id = {{"i"}, load.size() + 1};
@@ -159,6 +161,22 @@
     CHECK_TRUE(3 * most->second <= 4 * least->second);
 }
 
+// Guards against a kind of request that is displaced by a burst of another one of the same
+// priority.
+TEST(workspace_shares, a_burst_of_one_kind_starves_no_other) {
+    // GIVEN two workspaces that send two kinds of jobs, and one kind at 2.5 times its rate for 5 s
+    std::vector<arrivals> kinds;
+    for (const char* name : {"w1", "w2"}) {
+        kinds.push_back({name, 5, 2, 3'000'000, 0, 0ms, 6000ms, "usual"});
+        kinds.push_back({name, 12.5, 2, 3'000'000, 0, 500ms, 5000ms, "burst"});
+    }
+    // WHEN they are replayed
+    comparison result = compare("one kind at 2.5 times", pool_model{}, kinds);
+    // THEN both kinds are served, and no room is lost
+    CHECK_TRUE(is_nobody_starved(result));
+    CHECK_TRUE(is_room_used(result));
+}
+
 // Guards against capacity that is kept back for workspaces that don't want it.
 TEST(workspace_shares, a_lone_workspace_uses_the_whole_pool) {
     // GIVEN one workspace that wants twice the pool's capacity
@@ -246,3 +264,30 @@
         CHECK_TRUE(4 * result.shared.on_time_by_label[name] >= 3 * result.submitted[name]);
     }
 }
+
+// Guards against waits that are reported alike to a flood and to the others.
+TEST(workspace_shares, waits_beyond_the_share_are_longer_than_those_within) {
+    // GIVEN a busy upstream, a workspace with 40 waiting jobs and one with one
+    packer state;
+    reduce(state, pool_changed{{8, 150, 16, 360, 4000ms}, {{{"u1"}, "u1:80", {"z1"}}}}, start);
+    for (std::uint64_t number = 1; number <= 41; ++number) {
+        stage_job job;
+        job.id = {{"i"}, number};
+        job.pieces = 2;
+        job.key = "k";
+        job.soft_deadline = start + 20s;
+        job.hard_deadline = start + 30s;
+        job.workspace = {number == 41 ? "light" : "flood"};
+        reduce(state, job_submitted{job}, start);
+    }
+    reduce(state, packer_tick{}, start + 50ms);
+    // WHEN the waits are reported
+    const queueing_times waits = waiting_times(state, start + 50ms);
+    // THEN the flood is named, and its new jobs wait for all its waiting ones: over nine calls
+    LONGS_EQUAL(1, waits.beyond_share.workspaces.size());
+    STRCMP_EQUAL("flood", waits.beyond_share.workspaces[0].value.c_str());
+    CHECK_TRUE(waits.beyond_share.call_waits.at(0) >= 9 * 278ms);
+    CHECK_TRUE(waits.beyond_share.drained_in >= waits.beyond_share.call_waits.at(0));
+    // AND a new job within its share waits for a part of that
+    CHECK_TRUE(4 * waits.for_calls.at(0) <= waits.beyond_share.call_waits.at(0));
+}
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -341,6 +341,14 @@
     returned,     //!< withdrawn before any of its pieces was started
 };
 
+//! Expected queueing times of new jobs of workspaces that have used up their share of a pool.
+struct beyond_share_waits {
+    std::vector<workspace_name> workspaces;  //!< at most 16, with the most work first
+    std::vector<milliseconds> call_waits;    //!< of small results, by priority
+    std::vector<milliseconds> memory_waits;  //!< of other results, by priority
+    milliseconds drained_in{0};              //!< expected time until all waiting work is done
+};
+
 struct pieces_reply {
     std::uint64_t number{0};  //!< number of the job
     pieces_verdict verdict{pieces_verdict::failed};
@@ -354,6 +362,8 @@
     //! The same for a job whose results need much of an upstream's memory.
     std::vector<milliseconds> memory_waits;
     milliseconds drained_in{0};  //!< expected time until the queue is empty
+    //! For workspaces beyond their share; the times above are for all others.
+    beyond_share_waits beyond_share;
 };
 
 // --- directives of upstreams --------------------------------------------------------------------
