--- a/src/codec/codec.cpp
+++ b/src/codec/codec.cpp
@@ -50,7 +50,9 @@
                                                             "pieces_withdraw",
                                                             "upstream_limit_notice",
                                                             "origins_request",
-                                                            "origins_reply"};
+                                                            "origins_reply",
+                                                            "rollout_report",
+                                                            "rollout_notice"};
 
 //! SAX handler that rejects inputs nested too deeply, before the JSON library's recursive parser
 //! could overflow the stack on them. Stores no values.
--- a/src/codec/internal/json_messages.h
+++ b/src/codec/internal/json_messages.h
@@ -86,6 +86,59 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(origins_request, from, sequence, streams)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(recorded_stream, key, pool, version)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(origins_reply, sequence, streams)
+NLOHMANN_JSON_SERIALIZE_ENUM(rollout_step, {{rollout_step::comparing, "comparing"},
+                                            {rollout_step::moving, "moving"},
+                                            {rollout_step::closing, "closing"},
+                                            {rollout_step::completed, "completed"},
+                                            {rollout_step::rolled_back, "rolled_back"}})
+
+// An array, as a report holds many of them.
+inline void to_json(nlohmann::json& out, const version_results& value) {
+    out = nlohmann::json::array({value.route, value.is_target, value.requests, value.bad,
+                                 value.first_event, value.longest_gap, value.plain});
+}
+
+inline void from_json(const nlohmann::json& in, version_results& value) {
+    in.at(0).get_to(value.route);
+    in.at(1).get_to(value.is_target);
+    in.at(2).get_to(value.requests);
+    in.at(3).get_to(value.bad);
+    in.at(4).get_to(value.first_event);
+    in.at(5).get_to(value.longest_gap);
+    in.at(6).get_to(value.plain);
+}
+
+// Field names of other messages, since few one-byte names are left.
+inline void to_json(nlohmann::json& out, const rollout_report& value) {
+    out = {{"from", value.from},     {"pool", value.pool},      {"key", value.order},
+           {"age", value.age},       {"stage", value.step},     {"in_flight", value.open_at_others},
+           {"reason", value.reason}, {"results", value.results}};
+}
+
+inline void from_json(const nlohmann::json& in, rollout_report& value) {
+    in.at("from").get_to(value.from);
+    in.at("pool").get_to(value.pool);
+    in.at("key").get_to(value.order);
+    in.at("age").get_to(value.age);
+    in.at("stage").get_to(value.step);
+    in.at("in_flight").get_to(value.open_at_others);
+    in.at("reason").get_to(value.reason);
+    in.at("results").get_to(value.results);
+}
+
+inline void to_json(nlohmann::json& out, const rollout_notice& value) {
+    out = {{"from", value.from}, {"pool", value.pool},  {"key", value.order},
+           {"age", value.age},   {"stage", value.step}, {"reason", value.reason}};
+}
+
+inline void from_json(const nlohmann::json& in, rollout_notice& value) {
+    in.at("from").get_to(value.from);
+    in.at("pool").get_to(value.pool);
+    in.at("key").get_to(value.order);
+    in.at("age").get_to(value.age);
+    in.at("stage").get_to(value.step);
+    in.at("reason").get_to(value.reason);
+}
 
 void to_json(nlohmann::json& out, const peer_message& message);
 void from_json(const nlohmann::json& in, peer_message& message);
--- a/src/codec/tests/codec_tests.cpp
+++ b/src/codec/tests/codec_tests.cpp
@@ -38,6 +38,20 @@
     samples.push_back(claim_reply{1, 2, claim_verdict::join, {"r"}, a, {{{"s"}, "out"}}});
     samples.push_back(news_request{a, 7, {{"t", 5}}});
     samples.push_back(news_reply{7, {{"t", 9, 20ms, {{5, 9, "{}"}}}}});
+    samples.push_back(rollout_report{{{"i"}, "a:1", {"z"}, 250},
+                                     {"p"},
+                                     "p|1|v2|60000",
+                                     milliseconds(1500),
+                                     rollout_step::closing,
+                                     3,
+                                     "failures /r",
+                                     {{"/r", true, 20, 4, {0, 3, 17}, {20}, {}}}});
+    samples.push_back(rollout_notice{{{"i"}, "a:1", {"z"}, 250},
+                                     {"p"},
+                                     "p|1|v2|60000",
+                                     milliseconds(1500),
+                                     rollout_step::rolled_back,
+                                     "failures /r"});
     samples.push_back(upstream_limit_notice{{"u"}, 1'700'000'000'000, true, 1.2});
     samples.push_back(origins_request{a, 7, {"0123456789ab"}});
     samples.push_back(origins_reply{7, {{"0123456789ab", {"p"}, {"v1"}}}});
--- a/src/serving/fleet_state.cpp
+++ b/src/serving/fleet_state.cpp
@@ -368,6 +368,7 @@
     }
     view->suspects = state.published_suspects;
     view->stream_versions = state.stream_versions;
+    view->rollouts = state.rollouts;
     view->upstreams_known = state.upstreams_known;
     view->number = ++state.view_count;
     return view;
@@ -419,6 +420,18 @@
             [&](const member_removed& removed) {
                 is_changed = state.members.erase(removed.address) != 0;
             },
+            [&](const rollouts_listed& listed) {
+                is_changed = listed.orders != state.rollouts;
+                state.rollouts = listed.orders;
+            },
+            [&](const rollout_written& written) {
+                rollout_order& known = state.rollouts[written.order.name];
+                is_changed = !(known == written.order);
+                known = written.order;
+            },
+            [&](const rollout_removed& removed) {
+                is_changed = state.rollouts.erase(removed.name) != 0;
+            },
             [&](const suspects_listed& listed) {
                 is_changed = apply_suspect_list(state, listed, now, out);
             },
--- a/src/serving/fleet_state.h
+++ b/src/serving/fleet_state.h
@@ -110,6 +110,21 @@
     pool_versions versions;
 };
 
+//! The complete list of orders to move traffic between software versions.
+struct rollouts_listed {
+    rollout_orders orders;
+};
+
+//! An order was written, or its status changed.
+struct rollout_written {
+    rollout_order order;
+};
+
+//! An order was deleted.
+struct rollout_removed {
+    std::string name;
+};
+
 //! The store no longer answers.
 struct store_became_unreachable {};
 
@@ -124,7 +139,8 @@
                  zones_out_of_service_listed, zone_taken_out_of_service, zone_returned_to_service,
                  members_listed, member_written, member_removed, suspects_listed, suspect_written,
                  suspect_removed, crash_seen, crash_disproved, stream_versions_read,
-                 store_became_unreachable, store_became_reachable, fleet_tick>;
+                 rollouts_listed, rollout_written, rollout_removed, store_became_unreachable,
+                 store_became_reachable, fleet_tick>;
 
 //! An upstream and the state of its store entry.
 struct upstream_entry {
@@ -173,6 +189,7 @@
     std::shared_ptr<const crash_suspects> published_suspects{
         std::make_shared<const crash_suspects>()};
     pool_versions stream_versions;    //!< see `fleet_view`
+    rollout_orders rollouts;          //!< see `fleet_view`
     bool upstreams_known{false};      //!< the list of upstreams was read at least once
     bool store_reached{false};        //!< the store answered the last call
     instant store_reachable_since{};  //!< end of the last store outage
--- a/src/serving/types/fleet_view.h
+++ b/src/serving/types/fleet_view.h
@@ -4,6 +4,7 @@
 #include "crash_quarantine/crash_quarantine.h"
 #include "serving/types/serving_config.h"
 #include "types/fleet.h"
+#include "types/rollout.h"
 #include "types/stream_origin.h"
 
 #include <map>
@@ -38,6 +39,7 @@
     std::shared_ptr<const crash_suspects> suspects{std::make_shared<const crash_suspects>()};
     //! Software versions that may begin resumable streams, by pool.
     pool_versions stream_versions;
+    rollout_orders rollouts;      //!< orders to move traffic between software versions
     bool upstreams_known{false};  //!< the list of upstreams was read at least once
     std::uint64_t number{0};      //!< sequence number of the view within this process
 };
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -420,6 +420,51 @@
     std::vector<recorded_stream> streams;  //!< those of the request that the sender has recorded
 };
 
+// --- version rollouts ---------------------------------------------------------------------------
+
+//! Results on one route, of the order's target or of all other versions of the pool. Only grows
+//! while the sending process runs. Histograms are as `time_bucket` of `version_rollout` counts.
+struct version_results {
+    std::string route;
+    bool is_target{false};
+    std::uint64_t requests{0};  //!< requests that ended with a response or a failure
+    std::uint64_t bad{0};       //!< error statuses, unsigned, broken or missing responses
+    std::vector<std::uint64_t> first_event;  //!< histogram of times to the first event
+    std::vector<std::uint64_t> longest_gap;  //!< histogram of the longest gap between events
+    std::vector<std::uint64_t> plain;        //!< histogram of times of plain responses
+};
+
+//! How far an order has got.
+enum class rollout_step {
+    comparing,    //!< the target gets its share of the traffic
+    moving,       //!< all new requests go to the target if it has room
+    closing,      //!< no new request goes to another version
+    completed,    //!< the target has taken over
+    rolled_back,  //!< the target gets nothing
+};
+
+//! What a process has counted for an order, sent to the members that decide.
+struct rollout_report {
+    member from;
+    pool_name pool;
+    std::string order;    //!< key of the order
+    milliseconds age{0};  //!< since the sender, or whom it heard of, first saw the order
+    rollout_step step{rollout_step::comparing};
+    std::uint64_t open_at_others{0};  //!< requests in progress at other versions than the target
+    std::string reason;  //!< why the sender's own counts prove the target bad; or empty
+    std::vector<version_results> results;
+};
+
+//! A decision on an order, or the sign that the sender decides on it.
+struct rollout_notice {
+    member from;
+    pool_name pool;
+    std::string order;    //!< key of the order
+    milliseconds age{0};  //!< as in a report
+    rollout_step step{rollout_step::comparing};
+    std::string reason;
+};
+
 using peer_message =
     std::variant<ping, pong, roster_notice, document_request, document_notice, emergency_notice,
                  cold_notice, report_notice, slot_request, slot_reply, slot_release,
@@ -428,6 +473,6 @@
                  claim_reply, claim_progress, claim_end, suspects_notice, trial_request,
                  trial_reply, trial_end, pieces_request, pieces_cancel, pieces_release,
                  pieces_reply, news_request, news_reply, pieces_withdraw, upstream_limit_notice,
-                 origins_request, origins_reply>;
+                 origins_request, origins_reply, rollout_report, rollout_notice>;
 
 }  // namespace cyclamenmount
