Upstreams are chosen by expected cost under load control, from learned and shared speeds

Cause: engines of factors 0.6, 1.0 and 1.6 got the same number of requests, and an instance saw an engine only every few seconds.

Change: src/upstream_cost learns the speed of upstreams, the reading time of pools and the length of responses; observations travel as text in news_request and news_reply; place() weighs expected costs among weighted rendezvous homes and a few others, within the key-value memory. A message whose optional fields are missing is now decoded: the check of the re-encoded message rejected it although the conversion had a default.

--- a/src/codec/internal/json_messages.h
+++ b/src/codec/internal/json_messages.h
@@ -79,10 +79,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(upstream_limit_notice, upstream, incarnation, limited,
                                    requests_per_second)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(topic_position, name, version)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(news_request, from, sequence, known)
+// Instances of an earlier version don't send the observations.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(news_request, from, sequence, known, reports)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(change_page, base, version, text)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(topic_update, name, version, age, changes)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(news_reply, sequence, topics)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(news_reply, sequence, topics, reports)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(origins_request, from, sequence, streams)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(recorded_stream, key, pool, version)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(origins_reply, sequence, streams)
--- a/src/codec/tests/codec_tests.cpp
+++ b/src/codec/tests/codec_tests.cpp
@@ -36,8 +36,8 @@
     samples.push_back(share_report{1, {{{"w"}, 0.1, 3, 2, 1e9}}, 5, 4});
     samples.push_back(permit_reply{1, 2, permit_verdict::done, "p", {true, 200, "body"}});
     samples.push_back(claim_reply{1, 2, claim_verdict::join, {"r"}, a, {{{"s"}, "out"}}});
-    samples.push_back(news_request{a, 7, {{"t", 5}}});
-    samples.push_back(news_reply{7, {{"t", 9, 20ms, {{5, 9, "{}"}}}}});
+    samples.push_back(news_request{a, 7, {{"t", 5}}, "1z,250,9780"});
+    samples.push_back(news_reply{7, {{"t", 9, 20ms, {{5, 9, "{}"}}}}, "1z,250,9780"});
     samples.push_back(upstream_limit_notice{{"u"}, 1'700'000'000'000, true, 1.2});
     samples.push_back(origins_request{a, 7, {"0123456789ab"}});
     samples.push_back(origins_reply{7, {{"0123456789ab", {"p"}, {"v1"}}}});
@@ -172,6 +172,30 @@
     }
 }
 
+// Guards against store sync that fails between instances of this version and earlier ones, in either
+// direction.
+TEST(codec, store_sync_messages_of_an_earlier_version_are_understood) {
+    const member a{{"a"}, "127.0.0.1:1", {"z1"}};
+    const peer_message samples[] = {news_request{a, 7, {{"t", 5}}, "text"},
+                                    news_reply{7, {{"t", 9, 20ms, {}}}, "text"}};
+    for (const peer_message& sample : samples) {
+        // GIVEN a message without the observations, as earlier versions send it
+        auto earlier =
+            detail::with_full_names(nlohmann::json::from_msgpack(encode_message(sample)));
+        CHECK_TRUE(earlier.contains("reports"));
+        earlier.erase("reports");
+        // WHEN it is decoded
+        const auto decoded = decode_message(pack(earlier));
+        // THEN it is complete, with no observations
+        CHECK_TRUE(decoded.has_value());
+        LONGS_EQUAL(sample.index(), decoded.value().index());
+        // AND a field that an earlier version doesn't know isn't an error to it
+        auto later = detail::with_full_names(nlohmann::json::from_msgpack(encode_message(sample)));
+        later["unknown"] = "text";
+        CHECK_TRUE(decode_message(pack(later)).has_value());
+    }
+}
+
 TEST(codec, numbers_that_are_not_finite_are_errors) {
     share_report report{1, {{{"w"}, std::numeric_limits<double>::quiet_NaN(), 0, 0, 0}}, 0, 0};
     CHECK_FALSE(decode_message(encode_message(report)).has_value());
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,6 +1,8 @@
 #include "placement/placement.h"
 
-#include "coordination/roster/roster.h"
+#include "placement/internal/cost_choice.h"
+#include "placement/internal/prompt_homes.h"
+#include "placement/internal/upstream_filter.h"
 #include "routing/choose.h"
 #include "types/numeric.h"
 
@@ -11,6 +13,8 @@
 
 namespace cyclamenmount {
 
+using namespace detail;
+
 namespace {
 
 //! Backoff of an upstream after a request without a response; doubles from the initial to the
@@ -22,141 +26,9 @@
 //! duration.
 constexpr milliseconds rejection_backoff{60};
 constexpr double error_rate_weight = 0.15;  //!< weight of one outcome in the smoothed error rate
-//! An upstream is avoided if its error rate exceeds the common rate of all upstreams by more.
-constexpr double max_excess_error_rate = 0.25;
-//! Limit of running and queued requests per slot for requests without a prompt.
-constexpr int requests_per_slot = 2;
-//! A model engine with at least this load only gets prompts if all other engines are busy too.
-constexpr double busy_engine_load = 0.85;
 //! A model engine with more unread prompt tokens from this instance counts as busy: it takes about
 //! half a second to read that many.
 constexpr std::uint64_t max_unread_tokens = 20'000;
-constexpr milliseconds cold_rate_window{1000};
-constexpr double prompt_tokens_weight = 0.02;  //!< weight of one prompt in their smoothed mean
-//! Load reports of this age are ignored: most of the reported requests have ended since.
-constexpr milliseconds max_report_age{1500};
-
-using upstream_list = std::vector<serving_upstream>;
-
-const upstream_list& upstreams_of(const fleet_view& view, const pool_name& pool) {
-    static const upstream_list none;
-    const auto found = view.pools.find(pool);
-    return found == view.pools.end() ? none : found->second;
-}
-
-const pool_limits* limits_of(const fleet_view& view, const pool_name& pool) {
-    if (!view.config) {
-        return nullptr;
-    }
-    const auto found = view.config->pools.find(pool);
-    return found == view.config->pools.end() ? nullptr : &found->second;
-}
-
-//! Applies the members of the view and removes those that left a while ago.
-void update_sharing(sharing_members& sharing, const fleet_view& view, instant now) {
-    const bool is_applied = view.number != 0 && sharing.view_number == view.number;
-    if (is_applied && now < sharing.next_removal) {
-        return;
-    }
-    sharing.view_number = view.number;
-    const auto known = sharing.last_seen.size();
-    for (const member& present : view.members) {
-        sharing.last_seen[present.address] = now;
-    }
-    const bool is_extended = sharing.last_seen.size() != known;
-    const auto removed = std::erase_if(sharing.last_seen, [&](const auto& entry) {
-        return now - entry.second > sustained_window;
-    });
-    sharing.next_removal = instant::max();
-    for (const auto& [address, seen_at] : sharing.last_seen) {
-        if (seen_at != now) {
-            sharing.next_removal =
-                std::min(sharing.next_removal, seen_at + sustained_window + milliseconds(1));
-        }
-    }
-    if (is_extended || removed != 0) {
-        ++sharing.version;
-    }
-}
-
-//! Position of this instance among the sharing members for the upstream, by rendezvous weight.
-instance_rank rank_for(const placement_state& state, const upstream_id& upstream) {
-    const auto own_weight = rendezvous_weight({state.settings.address}, upstream.value);
-    instance_rank rank{0, std::max(1, static_cast<int>(state.sharing.last_seen.size()))};
-    for (const auto& [address, seen_at] : state.sharing.last_seen) {
-        rank.before += rendezvous_weight({address}, upstream.value) > own_weight ? 1 : 0;
-    }
-    return rank;
-}
-
-const instance_rank& cached_rank(placement_state& state, const fleet_view& view,
-                                 const upstream_id& upstream, instant now) {
-    update_sharing(state.sharing, view, now);
-    upstream_record& record = state.records[upstream];
-    if (record.ranked_among != state.sharing.version) {
-        record.rank = rank_for(state, upstream);
-        record.ranked_among = state.sharing.version;
-    }
-    return record.rank;
-}
-
-//! Requests per second that this instance may send to one cold upstream: its part of the limit for
-//! all instances.
-int cold_allowance(placement_state& state, const fleet_view& view, const pool_limits& pool,
-                   const upstream_id& upstream, instant now) {
-    const int limit = truncate_to<int>(std::floor(
-        pool.cold_per_second * state.settings.cold_overshoot + state.settings.cold_extra_rate));
-    return share_of(limit, cached_rank(state, view, upstream, now));
-}
-
-bool is_cold(const serving_upstream& upstream, instant now) {
-    return now < upstream.cold_until;
-}
-
-bool may_send_cold(placement_state& state, const fleet_view& view, const pool_limits& pool,
-                   const serving_upstream& upstream, instant now) {
-    const directive_state& sent = state.records[upstream.id].directives;
-    return requests_within(sent, cold_rate_window, now) <
-           cold_allowance(state, view, pool, upstream.id, now);
-}
-
-//! Time until the upstream's directives allow a request of this instance.
-milliseconds time_to_next_request(placement_state& state, const fleet_view& view,
-                                  const serving_upstream& upstream, instant now) {
-    directive_state& directives = state.records[upstream.id].directives;
-    set_incarnation(directives, upstream.started_at_ms);
-    const instance_rank rank =
-        directives.max_per_second ? cached_rank(state, view, upstream.id, now) : instance_rank{};
-    return cyclamenmount::time_to_next_request(directives, rank, now);
-}
-
-bool is_avoided(const placement_state& state, const upstream_record& record, instant now) {
-    return now < record.backoff_until ||
-           record.error_rate > state.error_rate + max_excess_error_rate;
-}
-
-//! This instance's share of the connections that one upstream accepts.
-int connection_share(const fleet_view& view, const pool_limits* pool) {
-    if (pool == nullptr || pool->max_connections <= 0) {
-        return std::numeric_limits<int>::max();
-    }
-    const int instances = static_cast<int>(std::max<std::size_t>(1, view.members.size()));
-    return std::max(2, pool->max_connections / instances);
-}
-
-candidate make_candidate(const upstream_record& record, const serving_upstream& upstream,
-                         int capacity, instant now) {
-    candidate result;
-    result.id = upstream.id;
-    result.zone = upstream.zone;
-    result.capacity = capacity;
-    result.own_in_flight = record.in_flight;
-    if (record.report && now - record.reported_at < max_report_age) {
-        result.reported_in_flight = record.report->running + record.report->waiting;
-        result.own_at_report = record.in_flight_at_report;
-    }
-    return result;
-}
 
 //! Upstreams that the request may be sent to; avoided ones only if there are no others.
 upstream_list usable_upstreams(placement_state& state, const fleet_view& view,
@@ -177,12 +49,6 @@
     return preferred.empty() ? avoided : preferred;
 }
 
-std::uint64_t prefix_key(std::span<const prompt_part> prompt) {
-    // The last part is specific to the request, so the part before it identifies the shared prefix.
-    const prompt_part& shared = prompt[prompt.size() >= 2 ? prompt.size() - 2 : 0];
-    return XXH3_64bits(shared.id.data(), shared.id.size());
-}
-
 std::optional<std::size_t> choose_without_prompt(const placement_state& state,
                                                  const upstream_list& from,
                                                  const placement_request& wanted, instant now) {
@@ -197,28 +63,6 @@
     return choose_upstream(candidates, choice);
 }
 
-std::uint64_t prompt_tokens(std::span<const prompt_part> prompt) {
-    std::uint64_t tokens = 0;
-    for (const prompt_part& part : prompt) {
-        tokens += part.tokens;
-    }
-    return tokens;
-}
-
-//! Returns true if the prompt is shorter than most of its pool, and updates their mean.
-bool is_short_prompt(placement_state& state, const placement_request& wanted) {
-    const auto tokens = static_cast<double>(prompt_tokens(wanted.prompt));
-    double& mean = state.mean_prompt_tokens.try_emplace(wanted.pool, tokens).first->second;
-    mean += prompt_tokens_weight * (tokens - mean);
-    return tokens < mean;
-}
-
-//! A limit counts requests, whatever their size, so short prompts leave the places at limited
-//! engines to long ones if another engine isn't busy.
-bool leaves_place(const upstream_record& record, bool is_short) {
-    return is_short && record.directives.max_per_second.has_value();
-}
-
 //! The engine with the highest weight for the prompt prefix that isn't busy; if all are busy, the
 //! least loaded one with capacity.
 std::optional<std::size_t> choose_engine(placement_state& state, const upstream_list& from,
@@ -264,6 +108,9 @@
 
 std::optional<serving_upstream> place(placement_state& state, const fleet_view& view,
                                       const placement_request& wanted, instant now) {
+    if (has_load_control(state, wanted.pool)) {
+        return detail::place_by_cost(state, view, wanted, now);
+    }
     upstream_list warm = usable_upstreams(state, view, wanted, now);
     upstream_list cold;
     std::erase_if(warm, [&](const serving_upstream& upstream) {
@@ -326,11 +173,14 @@
     return room;
 }
 
-zone_name preferred_zone(const placement_state& state, const fleet_view& view,
+zone_name preferred_zone(placement_state& state, const fleet_view& view,
                          const placement_request& wanted, instant now) {
     if (wanted.prompt.empty()) {
         return {};
     }
+    if (has_load_control(state, wanted.pool)) {
+        return home_zone(state, view, wanted, now);
+    }
     const std::uint64_t key = prefix_key(wanted.prompt);
     zone_name zone;
     std::uint64_t best_weight = 0;
@@ -357,6 +207,35 @@
     record_request(record.directives, now);
 }
 
+request_load record_sent(placement_state& state, const serving_upstream& to,
+                         const sent_request& sent, instant now) {
+    upstream_record& record = state.records[to.id];
+    request_load load;
+    const pool_limits* const limits = sent.limits;
+    const std::uint64_t cache_tokens =
+        limits != nullptr && limits->engine ? limits->engine->cache_tokens : 0;
+    const std::uint64_t unread = record_prompt(record, sent.prompt, cache_tokens, now);
+    load.unread_tokens = unread;
+    load.tokens_to_first_event = static_cast<double>(unread + record.unread_tokens);
+    if (state.last_decision && state.last_decision->chosen == to.id) {
+        // Other instances may have sent the shared parts before.
+        load.unread_tokens = round_to<std::uint64_t>(state.last_decision->own_unread_tokens);
+        load.tokens_to_first_event = state.last_decision->tokens_to_first_event;
+        load.factor = state.last_decision->factor;
+    }
+    load.kv_tokens = sent.prompt.empty()
+                         ? 0
+                         : load.unread_tokens + round_to<std::uint64_t>(sent.expected_events);
+    record.kv_tokens += load.kv_tokens;
+    record_sent(state, to, load.unread_tokens, now);
+    return load;
+}
+
+void record_released(placement_state& state, const upstream_id& from, const request_load& load) {
+    upstream_record& record = state.records[from];
+    record.kv_tokens -= std::min(record.kv_tokens, load.kv_tokens);
+}
+
 void record_first_event(placement_state& state, const upstream_id& from,
                         std::uint64_t prompt_tokens) {
     upstream_record& record = state.records[from];
@@ -381,6 +260,46 @@
     return state.settings.under_pressure || state.pools_with_work_time.contains(pool);
 }
 
+bool has_load_control(const placement_state& state) {
+    return state.settings.under_pressure || !state.pools_with_work_time.empty();
+}
+
+std::vector<shared_observation> own_observations(const placement_state& state, instant now) {
+    std::vector<std::pair<instant, shared_observation>> known;
+    for (const auto& [pool, index] : state.indexes) {
+        for (const indexed_upstream& upstream : index.upstreams) {
+            const upstream_record& record = *upstream.record;
+            const auto seen = state.costs.own.find(upstream.key);
+            if (seen == state.costs.own.end() && record.in_flight == 0) {
+                continue;
+            }
+            shared_observation one;
+            one.upstream = upstream.key;
+            one.work = {record.in_flight, record.unread_tokens, record.kv_tokens};
+            instant used_at = record.in_flight > 0 ? now : instant{};
+            if (seen != state.costs.own.end()) {
+                const speed_evidence& speed = seen->second;
+                one.speed = {decayed(speed.gaps, now), decayed(speed.ratios, now)};
+                used_at = std::max({used_at, speed.gaps.updated_at, speed.ratios.updated_at});
+            }
+            if (record.report && now - record.reported_at < max_work_age) {
+                one.report = record.report;
+                one.report_age = now - record.reported_at;
+            }
+            known.emplace_back(used_at, one);
+        }
+    }
+    const std::size_t count = std::min(known.size(), max_reported_upstreams);
+    const auto end = known.begin() + static_cast<std::ptrdiff_t>(count);
+    std::ranges::partial_sort(known, end, std::greater<>(),
+                              [](const auto& entry) { return entry.first; });
+    std::vector<shared_observation> observations;
+    for (const auto& entry : std::span(known).first(count)) {
+        observations.push_back(entry.second);
+    }
+    return observations;
+}
+
 void record_load(placement_state& state, const pool_name& pool, const upstream_id& from,
                  const load_report& report, instant now) {
     if (report.work_time_percent) {
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -3,6 +3,7 @@
 
 #include "serving/types/fleet_view.h"
 #include "types/prompt.h"
+#include "upstream_cost/shared_costs.h"
 #include "upstream_directives/upstream_directives.h"
 
 #include <limits>
@@ -11,6 +12,8 @@
 #include <set>
 #include <span>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace cyclamenmount {
 
@@ -26,14 +29,10 @@
     abandoned,    //!< cancelled by this instance; no evidence of the upstream's health
 };
 
-//! Load that an upstream reports with its responses.
-struct load_report {
-    int running{0};  //!< requests in progress
-    int waiting{0};  //!< queued requests
-    int slots{1};    //!< requests that can run at the same time
-    //! Time that work takes on the upstream's machine at the moment, in percent of the usual; none
-    //! if the upstream doesn't tell it.
-    std::optional<int> work_time_percent{};
+//! A prompt part that was sent to an upstream, which therefore has it in its cache.
+struct sent_part {
+    std::uint64_t tokens{0};
+    instant used_at{};
 };
 
 //! What this instance has recorded of one upstream.
@@ -50,6 +49,11 @@
     directive_state directives;
     instance_rank rank;             //!< of this instance for the upstream
     std::uint64_t ranked_among{0};  //!< version of the sharing members that `rank` is for
+    // Under load control.
+    std::uint64_t kv_tokens{0};  //!< that this instance's requests take in the key-value cache
+    //! Prompt parts that this instance has sent, by the hash of their id.
+    std::unordered_map<std::uint64_t, sent_part> sent_parts;
+    int speed_step{0};  //!< coarse logarithm of the factor, which decides the homes of prefixes
 };
 
 struct placement_settings {
@@ -71,6 +75,42 @@
     instant next_removal{instant::max()};      //!< when the next one that has left is removed
 };
 
+//! One upstream of a pool as the choice by cost reads it.
+struct indexed_upstream {
+    upstream_record* record{nullptr};
+    upstream_key key{0};
+    std::uint64_t id_hash{0};
+    double factor{1};       //!< learned time relative to the pool
+    double weight{1};       //!< in the choice of homes
+    double evidence{0};     //!< number of samples behind `factor`
+    outstanding_work others{};  //!< work of the other instances
+    load_report report{};       //!< newest one of any instance
+    instant reported_at{};      //!< zero if none
+};
+
+//! The upstreams of a pool in the order of the view.
+struct pool_index {
+    const void* owner{nullptr};  //!< the state that the pointers lead into
+    std::uint64_t view_number{0};
+    std::vector<indexed_upstream> upstreams;
+    instant refreshed_at{};
+    double gap_ms{0};  //!< mean time between events of the pool; 0 if unknown
+};
+
+//! How the last upstream was chosen by cost, for the log.
+struct placement_decision {
+    upstream_id chosen;
+    upstream_id runner_up;  //!< empty if there was no other candidate
+    double cost_ms{0};
+    double runner_up_cost_ms{0};
+    double factor{1};
+    double evidence{0};        //!< samples behind the factor
+    milliseconds report_age{-1};  //!< of the load report; negative if there is none
+    double own_unread_tokens{0};      //!< of the request
+    double tokens_to_first_event{0};  //!< unread ones of the request and of those before it
+    std::size_t candidates{0};
+};
+
 struct placement_state {
     placement_settings settings;
     std::map<upstream_id, upstream_record> records;
@@ -79,6 +119,9 @@
     std::map<pool_name, double> mean_prompt_tokens;  //!< smoothed, by pool
     //! Pools whose upstreams report how long work takes at the moment.
     std::set<pool_name> pools_with_work_time;
+    cost_state costs;
+    std::map<pool_name, pool_index> indexes;
+    std::optional<placement_decision> last_decision;  //!< none if the last choice wasn't by cost
 };
 
 struct placement_request {
@@ -92,6 +135,23 @@
     //! Software versions of which the upstream must be one; none: any.
     std::optional<std::set<software_version>> versions;
     std::uint64_t random{0};  //!< random bits for the choice
+    double expected_events{0};       //!< length of the response; 0 if unknown
+    milliseconds max_event_gap{0};   //!< target for the longest gap between events; 0 if none
+};
+
+//! A request that is sent under load control.
+struct sent_request {
+    std::span<const prompt_part> prompt;
+    double expected_events{0};
+    const pool_limits* limits{nullptr};  //!< null if the configuration doesn't name the pool
+};
+
+//! What a sent request takes at its upstream.
+struct request_load {
+    std::uint64_t unread_tokens{0};  //!< prompt tokens that aren't cached there
+    std::uint64_t kv_tokens{0};      //!< in the key-value cache
+    double tokens_to_first_event{0};  //!< unread ones of the request and of those before it
+    double factor{1};                 //!< expected factor of the upstream
 };
 
 //! Returns the state of an instance that has sent no request yet.
@@ -113,12 +173,17 @@
 
 //! Zone of the upstream that most likely has the shared parts of the prompt cached; empty without a
 //! prompt or a usable upstream.
-zone_name preferred_zone(const placement_state& state, const fleet_view& view,
+zone_name preferred_zone(placement_state& state, const fleet_view& view,
                          const placement_request& wanted, instant now);
 
 //! Records that a request was sent to an upstream.
 void record_sent(placement_state& state, const serving_upstream& to, std::uint64_t prompt_tokens,
                  instant now);
+//! The same under load control, with the load that the request brings.
+request_load record_sent(placement_state& state, const serving_upstream& to,
+                         const sent_request& sent, instant now);
+//! Records that a request sent under load control has ended.
+void record_released(placement_state& state, const upstream_id& from, const request_load& load);
 //! Records the first event of a response, or its end without one: the prompt no longer counts as
 //! unread.
 void record_first_event(placement_state& state, const upstream_id& from,
@@ -133,6 +198,11 @@
 //! True if load control is in force for the pool: the deployment calls for it, or upstreams of the
 //! pool report that they share their machines.
 bool has_load_control(const placement_state& state, const pool_name& pool);
+//! True if load control is in force for any pool.
+bool has_load_control(const placement_state& state);
+//! Observations of this instance in the pools under load control, those of upstreams in use first;
+//! at most `max_reported_upstreams`.
+std::vector<shared_observation> own_observations(const placement_state& state, instant now);
 //! Records a load report of an upstream of the pool.
 void record_load(placement_state& state, const pool_name& pool, const upstream_id& from,
                  const load_report& report, instant now);
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -103,6 +103,7 @@
     counter_series repeats;
     counter_series other_zone;
     std::map<std::string, double> gauges;
+    std::map<std::string, std::map<labels, double>> pool_gauges;  //!< by name
 
     void record_stage(const request_record& ended, const stage_cost& cost);
 };
@@ -154,6 +155,11 @@
     impl_->gauges[name] = value;
 }
 
+void metrics::set_pool_gauge(const std::string& name, const pool_name& pool, double value) {
+    const std::scoped_lock lock(impl_->mutex);
+    impl_->pool_gauges[name][label("pool", pool.value)] = value;
+}
+
 std::string metrics::page() const {
     const std::scoped_lock lock(impl_->mutex);
     std::ostringstream out;
@@ -174,6 +180,12 @@
         out << "# TYPE cyclamenmount_" << name << " gauge\ncyclamenmount_" << name << ' ' << value
             << '\n';
     }
+    for (const auto& [name, series] : impl_->pool_gauges) {
+        out << "# TYPE cyclamenmount_" << name << " gauge\n";
+        for (const auto& [key, value] : series) {
+            out << "cyclamenmount_" << name << '{' << key << "} " << value << '\n';
+        }
+    }
     return out.str();
 }
 
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -54,6 +54,9 @@
     //! Sets the value of a gauge, e.g. `roster_generation`.
     void set_gauge(const std::string& name, double value);
 
+    //! Sets the value of a gauge of one pool.
+    void set_pool_gauge(const std::string& name, const pool_name& pool, double value);
+
     //! All metrics in the Prometheus text exposition format.
     [[nodiscard]] std::string page() const;
 
--- a/src/types/peer_messages.h
+++ b/src/types/peer_messages.h
@@ -378,6 +378,7 @@
     member from;
     std::uint64_t sequence{0};  //!< number of this request; the reply repeats it
     std::vector<topic_position> known;
+    std::string reports{};  //!< the sender's observations of upstreams, as text; may be empty
 };
 
 //! Changes of a topic as read from the store.
@@ -397,6 +398,7 @@
 struct news_reply {
     std::uint64_t sequence{0};  //!< copied from the request
     std::vector<topic_update> topics;
+    std::string reports{};  //!< observations of all other instances, as text; may be empty
 };
 
 // --- origins of streams -------------------------------------------------------------------------
