--- a/src/http_exchange/client_exchange.cpp
+++ b/src/http_exchange/client_exchange.cpp
@@ -1,6 +1,7 @@
 #include "http_exchange/client_exchange.h"
 
 #include "http_exchange/background.h"
+#include "types/http_status.h"
 
 #include <array>
 #include <charconv>
@@ -33,11 +34,6 @@
 //! treats `boost::none` as zero if the response has a Content-Length.
 constexpr std::uint64_t unlimited_body = std::numeric_limits<std::uint64_t>::max();
 
-//! RFC 9110, 15.2: a client reads on after an interim response, whether or not it expected one.
-bool is_interim(unsigned status) {
-    return status >= 100 && status < 200;
-}
-
 //! Parses the `timeout=` parameter (seconds) of a Keep-Alive header; none if it is missing.
 std::optional<milliseconds> parse_keep_alive_timeout(const http::fields& headers) {
     const auto value = headers[http::field::keep_alive];
@@ -158,9 +154,17 @@
 task<error_code> client_exchange::read_head() {
     for (int interim = 0; interim <= max_interim_responses; ++interim) {
         const error_code failed = co_await read_any_head();
-        if (failed || !is_interim(head().result_int())) {
+        if (failed) {
             co_return failed;
         }
+        const auto status = static_cast<int>(head().result_int());
+        if (is_final_status(status)) {
+            co_return failed;
+        }
+        // RFC 9110, 15.2: a client reads on after an interim response, expected or not.
+        if (!is_interim_status(status)) {
+            break;
+        }
         if (head().result() == http::status::switching_protocols) {
             break;  // what follows isn't HTTP
         }
--- a/src/http_exchange/client_exchange.h
+++ b/src/http_exchange/client_exchange.h
@@ -35,7 +35,9 @@
     //! reading fails.
     task<> send();
 
-    //! Reads the status line and headers of the next response.
+    //! Reads the status line and headers of the next response, after interim ones. Fails with
+    //! `http::error::bad_status` if its status isn't final (200 to 599): the response is then
+    //! broken, and its connection can't be used any more.
     task<error_code> read_head();
 
     [[nodiscard]] const http::response_header<>& head() const {
--- a/src/http_exchange/tests/client_exchange_tests.cpp
+++ b/src/http_exchange/tests/client_exchange_tests.cpp
@@ -179,3 +179,122 @@
         CHECK_TEXT(boot_clock::now() - sent_at < one.latest_end, one.name);
     }
 }
+
+// Guards against a response whose status is none that is taken for an answer.
+TEST(client_exchange, only_statuses_from_200_to_599_are_final) {
+    struct status_case {
+        const char* status;
+        exchange_outcome outcome;
+    };
+
+    const status_case status_cases[] = {
+        {"000", exchange_outcome::broken},    {"001", exchange_outcome::broken},
+        {"099", exchange_outcome::broken},    {"100", exchange_outcome::broken},
+        {"101", exchange_outcome::broken},    {"103", exchange_outcome::broken},
+        {"199", exchange_outcome::broken},    {"200", exchange_outcome::completed},
+        {"299", exchange_outcome::completed}, {"418", exchange_outcome::completed},
+        {"599", exchange_outcome::completed}, {"600", exchange_outcome::broken},
+        {"999", exchange_outcome::broken},
+    };
+    for (const status_case& one : status_cases) {
+        for (const bool is_after_interim : {false, true}) {
+            // GIVEN a server that responds with the status, also after an interim response, and
+            // ends the connection
+            const std::string interim =
+                is_after_interim ? "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" : "";
+            early_server server([&](const std::string& /*head*/, const early_connection& on) {
+                on.send(interim + "HTTP/1.1 " + one.status +
+                        " X\r\nContent-Length: 14\r\nX-Field: x\r\n\r\n" + half);
+                on.finish();
+                (void)on.read_on();
+            });
+            // WHEN a request is sent
+            const exchange_reply reply = run_exchange(server.address(), short_body);
+            // THEN it has a response only with a final status, and nothing of another one is kept
+            STRCMP_EQUAL_TEXT(std::string(enum_name(one.outcome)).c_str(),
+                              std::string(enum_name(reply.outcome)).c_str(), one.status);
+            if (one.outcome == exchange_outcome::broken) {
+                CHECK_TRUE_TEXT(reply.response.body().empty(), one.status);
+                CHECK_TRUE_TEXT(reply.response["X-Field"].empty(), one.status);
+            }
+        }
+    }
+}
+
+// Guards against a connection that carries another exchange after a response that was none.
+TEST(client_exchange, a_status_that_is_not_final_closes_its_connection) {
+    for (const char* const status : {"000", "099", "600", "999"}) {
+        // GIVEN a server that responds with the status and keeps the connection open
+        std::atomic<bool> is_closed{false};
+        early_server server([&](const std::string& /*head*/, const early_connection& on) {
+            on.send(std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 0\r\n\r\n");
+            (void)on.read_on();
+            is_closed = true;
+        });
+        asio::io_context loop;
+        bool is_closed_by_exchange = false;
+        asio::co_spawn(
+            loop,
+            [](asio::io_context& on, std::string to, bool& result) -> task<> {
+                const auto opened = co_await open_connection(on, to, time_limit_ms);
+                (void)co_await exchange(opened.value(),
+                                        make_json_request(http::verb::post, "/", "h", "{}"),
+                                        {time_limit_ms, 1'000'000, {}}, nullptr);
+                result = opened.value()->is_closed;
+            }(loop, server.address(), is_closed_by_exchange),
+            asio::detached);
+        // WHEN the exchange has ended
+        const instant started = boot_clock::now();
+        loop.run();
+        // THEN the connection is closed, and at once
+        CHECK_TRUE_TEXT(is_closed_by_exchange, status);
+        CHECK_TEXT(boot_clock::now() - started < time_limit_ms, status);
+    }
+}
+
+// Guards against half of a body that looks whole although nothing of the request was being written
+// any more as the reset came.
+TEST(client_exchange, a_reset_after_the_upload_is_seen_on_new_and_kept_connections) {
+    constexpr std::size_t written_body = std::size_t{40} * 1024;  // fits into the socket buffers
+    for (const std::size_t body_bytes : {short_body, written_body}) {
+        for (const bool is_kept : {false, true}) {
+            // GIVEN a server that resets a response without a length, after another exchange on the
+            // connection if it is kept
+            early_server server([&](const std::string& /*head*/, const early_connection& on) {
+                if (is_kept) {
+                    on.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    (void)on.read_next_head();
+                }
+                on.send("HTTP/1.1 200 OK\r\n\r\n" + half);
+                reset_later(on);
+            });
+            asio::io_context loop;
+            exchange_reply reply;
+            // WHEN a request that was sent in whole is answered
+            asio::co_spawn(
+                loop,
+                [](asio::io_context& on, std::string to, bool has_first, std::size_t bytes,
+                   exchange_reply& result) -> task<> {
+                    const exchange_limits limits{time_limit_ms, 1'000'000, {}};
+                    const auto opened = co_await open_connection(on, to, time_limit_ms);
+                    if (has_first) {
+                        (void)co_await exchange(opened.value(),
+                                                make_json_request(http::verb::post, "/", "h", "{}"),
+                                                limits, nullptr);
+                    }
+                    result = co_await exchange(
+                        opened.value(),
+                        make_json_request(http::verb::post, "/", "h", std::string(bytes, 'b')),
+                        limits, nullptr);
+                    opened.value()->close();
+                }(loop, server.address(), is_kept, body_bytes, reply),
+                asio::detached);
+            loop.run();
+            // THEN the response is broken, and the connection was the same
+            CHECK_TRUE(reply.outcome == exchange_outcome::broken);
+            CHECK_TRUE(reply.response.body().empty());
+            LONGS_EQUAL(1, server.requests());
+            CHECK_TRUE(reply.body_bytes > 0);
+        }
+    }
+}
--- a/src/http_exchange/tests/early_server.h
+++ b/src/http_exchange/tests/early_server.h
@@ -36,6 +36,17 @@
         (void)setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &abortive, sizeof(abortive));
     }
 
+    //! Reads to the end of the next head on a connection that is kept, with what is left of the
+    //! request before it; what came until the client closed the connection if there is none.
+    [[nodiscard]] std::string read_next_head() const {
+        std::string head;
+        char byte = 0;
+        while (!head.ends_with("\r\n\r\n") && recv(descriptor_, &byte, 1, 0) == 1) {
+            head += byte;
+        }
+        return head;
+    }
+
     //! Reads until the client closes the connection; returns the number of bytes.
     std::size_t read_on() const {
         std::size_t total = 0;
@@ -111,14 +122,11 @@
     }
 
     void serve(int descriptor) {
-        std::string head;
-        char byte = 0;
-        while (!head.ends_with("\r\n\r\n") && recv(descriptor, &byte, 1, 0) == 1) {
-            head += byte;
-        }
+        const early_connection accepted(descriptor);
+        const std::string head = accepted.read_next_head();
         if (head.ends_with("\r\n\r\n")) {
             ++requests_;
-            respond_(head, early_connection(descriptor));
+            respond_(head, accepted);
         }
         const std::lock_guard lock(mutex_);
         open_.remove(descriptor);
--- a/src/http_loop/tests/http_loop_tests.cpp
+++ b/src/http_loop/tests/http_loop_tests.cpp
@@ -1,3 +1,4 @@
+#include "http_exchange/tests/early_server.h"
 #include "http_loop/http_loop.h"
 #include "standins/common/http_server.h"
 #include "standins/common/testing.h"
@@ -121,6 +122,45 @@
     }
 }
 
+// Guards against a status of 000 or 999 that is taken for an answer, e.g. to a write, whose outcome
+// is unknown, and against a connection that is used again after it.
+TEST(http_loop_faults, a_status_that_is_not_final_is_an_error) {
+    for (const char* const status : {"000", "099", "199", "600", "999"}) {
+        for (const char* const method : {"GET", "PUT"}) {
+            // GIVEN a server that responds with the status and keeps the connection open
+            std::atomic<bool> is_closed{false};
+            testing::early_server server(
+                [&](const std::string& /*head*/, const testing::early_connection& on) {
+                    on.send(std::string("HTTP/1.1 ") + status +
+                            " X\r\nETag: \"7\"\r\nContent-Length: 2\r\n\r\n{}");
+                    if (status[0] == '1') {
+                        on.finish();
+                    }
+                    (void)on.read_on();
+                    is_closed = true;
+                });
+            const auto loop = std::move(http_loop::start().value());
+            collector<result<http_response>> results;
+            http_request request;
+            request.method = method;
+            request.url = "http://" + server.address() + "/";
+            request.timeout = 1000ms;
+            // WHEN a request is submitted
+            loop->submit(std::move(request),
+                         [&](auto received) { results.add(std::move(received)); });
+            const auto received = results.wait_for(1);
+            // THEN it has no response, and the connection is closed
+            LONGS_EQUAL_TEXT(1, received.size(), status);
+            CHECK_FALSE_TEXT(received[0].has_value(), status);
+            CHECK_TEXT(received[0].error().kind == error_kind::protocol, status);
+            for (int i = 0; i < 100 && !is_closed; ++i) {
+                std::this_thread::sleep_for(5ms);
+            }
+            CHECK_TEXT(is_closed, status);
+        }
+    }
+}
+
 TEST(http_loop_faults, header_names_are_lower_case_and_body_is_complete) {
     fixture given;
     given.submit("GET", 5s);
--- a/src/http_loop/transfer.cpp
+++ b/src/http_loop/transfer.cpp
@@ -1,5 +1,7 @@
 #include "http_loop/internal/transfer.h"
 
+#include "types/http_status.h"
+
 #include <algorithm>
 #include <cctype>
 #include <string_view>
@@ -51,12 +53,11 @@
     current.received_bytes_before = current.received_bytes;
 }
 
-//! Whether the head of the final response is complete, given one of its lines.
-bool completes_head(const transfer& current, std::string_view line) {
-    constexpr long first_final_status = 200;
+//! Status of the response whose head is being received.
+int status_of(const transfer& current) {
     long status = 0;
     curl_easy_getinfo(current.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    return trimmed(line).empty() && status >= first_final_status;
+    return static_cast<int>(status);
 }
 
 std::size_t receive_body(transfer& current, const char* data, std::size_t count) {
@@ -71,8 +72,14 @@
 std::size_t receive_header(transfer& current, const char* data, std::size_t count) {
     const std::string_view line(data, count);
     current.received_bytes += count;
-    if (!current.latest_end && completes_head(current, line)) {
-        follow_progress(current, boot_clock::now());
+    if (trimmed(line).empty()) {
+        const int status = status_of(current);
+        if (!is_final_status(status) && !is_interim_status(status)) {
+            return 0;  // fails the exchange and closes its connection
+        }
+        if (!current.latest_end && is_final_status(status)) {
+            follow_progress(current, boot_clock::now());
+        }
     }
     if (line.starts_with("HTTP/")) {
         current.response.headers.clear();
@@ -155,7 +162,11 @@
         const bool sent = may_have_sent(ended.easy.get());
         return {sent ? error_kind::timeout : error_kind::unreachable, message};
     }
-    if (code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL) {
+    // libcurl reports an unsupported protocol also if the response's status line is malformed.
+    const bool is_unusable_url =
+        code == CURLE_URL_MALFORMAT ||
+        (code == CURLE_UNSUPPORTED_PROTOCOL && !may_have_sent(ended.easy.get()));
+    if (is_unusable_url) {
         return {error_kind::unreachable, message};
     }
     return {error_kind::protocol, message};
@@ -201,9 +212,10 @@
     if (code != CURLE_OK) {
         return error_of(ended, code);
     }
-    long status = 0;
-    curl_easy_getinfo(ended.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    ended.response.status = static_cast<int>(status);
+    ended.response.status = status_of(ended);
+    if (!is_final_status(ended.response.status)) {
+        return error{error_kind::protocol, ended.request.url + ": no final response"};
+    }
     return std::move(ended.response);
 }
 
--- a/src/upstreams/attempt_call.h
+++ b/src/upstreams/attempt_call.h
@@ -40,7 +40,7 @@
     truncated,        //!< a token stream lacks its last line or differs from the count there
     malformed,        //!< the response isn't valid JSON or lacks a field
     too_large,        //!< the response exceeds a size limit
-    connection_lost,  //!< the connection was reset or closed before the response was complete
+    connection_lost,  //!< no complete response: the connection ended, or what came isn't HTTP
     stalled,          //!< no data was received within the time limit
     deadline_passed,  //!< the deadline passed after the request was sent
     cancelled,        //!< cancelled by this process
--- a/src/upstreams/tests/upstream_client_tests.cpp
+++ b/src/upstreams/tests/upstream_client_tests.cpp
@@ -98,6 +98,17 @@
     end_stream(to);
 }
 
+//! Sends an output that would be valid but for its status.
+void send_status(const request& incoming, const reply& to, const std::string& status) {
+    nlohmann::json body = echo_body(incoming);
+    body["output"] = "x";
+    body["execution"] = "not_run";
+    const std::string text = body.dump();
+    std::string head =
+        answer_head(incoming, 200, "Content-Length: " + std::to_string(text.size()) + "\r\n");
+    to.send(head.replace(head.find("200"), status.size(), status) + text);
+}
+
 void send_with_other_id(request incoming, const reply& to, const char* header) {
     incoming.headers[header] = "other";
     send_output(incoming, to, "x");
@@ -218,6 +229,29 @@
          f::connection_lost, 0},
         {"not HTTP", stage, [](const request&, const reply& s) { s.send("hello\r\n\r\n"); }, died,
          f::connection_lost, 0},
+        {"interim response before a valid output", stage,
+         [](const request& r, const reply& s) {
+             s.send("HTTP/1.1 103 Early Hints\r\n\r\n");
+             send_output(r, s, "out");
+         },
+         ok, f::none, 0},
+        {"status 000", stage, [](const request& r, const reply& s) { send_status(r, s, "000"); },
+         died, f::connection_lost, 0},
+        {"status 099", stage, [](const request& r, const reply& s) { send_status(r, s, "099"); },
+         died, f::connection_lost, 0},
+        {"status 600", stage, [](const request& r, const reply& s) { send_status(r, s, "600"); },
+         died, f::connection_lost, 0},
+        {"status 999", stage, [](const request& r, const reply& s) { send_status(r, s, "999"); },
+         died, f::connection_lost, 0},
+        {"status 000 of an engine", engine,
+         [](const request& r, const reply& s) { send_status(r, s, "000"); }, died,
+         f::connection_lost, 0},
+        {"status 999 of an engine", engine,
+         [](const request& r, const reply& s) { send_status(r, s, "999"); }, died,
+         f::connection_lost, 0},
+        {"an interim response as the last word", stage,
+         [](const request&, const reply& s) { s.send("HTTP/1.1 199 X\r\n\r\n"); }, died,
+         f::connection_lost, 0},
         {"silent from the start", stage, [](const request&, const reply& s) { s.stay_silent(); },
          timed_out, f::stalled, 0},
         {"silent in the stream", engine,
--- a/src/upstreams/transfer.cpp
+++ b/src/upstreams/transfer.cpp
@@ -1,5 +1,7 @@
 #include "upstreams/internal/transfer.h"
 
+#include "types/http_status.h"
+
 #include <algorithm>
 
 #include <nlohmann/json.hpp>
@@ -150,7 +152,16 @@
     auto& self = *static_cast<transfer*>(user_data);
     self.last_progress_ = boot_clock::now();
     self.response_started_ = true;
-    read_header(self.reader_, std::string_view(data, size * count));
+    const std::string_view line(data, size * count);
+    read_header(self.reader_, line);
+    if (line == "\r\n" || line == "\n") {
+        long status = 0;
+        curl_easy_getinfo(self.easy_.get(), CURLINFO_RESPONSE_CODE, &status);
+        const int code = static_cast<int>(status);
+        if (!is_final_status(code) && !is_interim_status(code)) {
+            return 0;  // fails the attempt and closes its connection
+        }
+    }
     return size * count;
 }
 
@@ -221,7 +232,7 @@
     if (reader_.fault != attempt_fault::none) {
         return reader_.fault;
     }
-    if (code == CURLE_OK) {
+    if (code == CURLE_OK && is_final_status(reader_.status)) {
         return finish_response(reader_, call_);
     }
     return attempt_fault::connection_lost;
