--- a/src/app/ctl_main.cpp
+++ b/src/app/ctl_main.cpp
@@ -1,9 +1,11 @@
 //! `cyclamenctl`: the operators' command line.
 #include "ctl/ctl.h"
+#include "platform/config_check.h"
 #include "settings/settings.h"
 
 #include <iostream>
 #include <memory>
+#include <span>
 #include <thread>
 
 #include <civetweb.h>
@@ -62,9 +64,14 @@
 }
 
 int run(const ctl_options& options, const std::vector<std::string>& arguments) {
+    const auto read = [](const std::string& path) { return read_file(path, max_file_bytes); };
+    if (!arguments.empty() && arguments.front() == "check-config") {
+        return static_cast<int>(platform::run_config_check(
+            std::span(arguments).subspan(1), {read, std::cout, std::cerr, options.json}));
+    }
     const ctl_io io{
         &exchange,
-        [](const std::string& path) { return read_file(path, max_file_bytes); },
+        read,
         [](milliseconds time) { std::this_thread::sleep_for(time); },
         [] { return boot_clock::now(); },
         std::cout,
--- a/src/ctl/ctl.cpp
+++ b/src/ctl/ctl.cpp
@@ -55,6 +55,10 @@
            "  explain ID LOG...                explain a request from instances' logs; - "
            "reads\n"
            "                                   standard input\n"
+           "  check-config NEW [IN_FORCE]      check a configuration of the platform, given as "
+           "its\n"
+           "                                   stored object, before it is submitted; exit codes:\n"
+           "                                   0 no errors, 1 errors, 2 unusable input\n"
            "Exit codes: 0 done, 1 failed, 2 usage, 3 faults in the list, 4 changed meanwhile,\n"
            "  5 not known whether accepted, 6 not in force everywhere in time, 7 refused\n";
 }
