--- a/bench/placement/placement_bench.cpp
+++ b/bench/placement/placement_bench.cpp
@@ -31,8 +31,8 @@
     return view;
 }
 
-//! Mean processor time of one choice in µs. Time passes as at 200 requests a second, so that the refreshes of
-//! the learned figures count in.
+//! Mean processor time of one choice in µs. Time passes as at 200 requests a second, so that the
+//! refreshes of the learned figures count in.
 double mean_time_us(int upstreams, bool has_prompt) {
     const fleet_view view = make_view(upstreams);
     placement_state state;
--- a/src/codec/internal/json_variant.h
+++ b/src/codec/internal/json_variant.h
@@ -49,10 +49,10 @@
     return out;
 }
 
-//! Checks a decoded value by its re-encoding: true if the fields of `input` that `reencoded` has are
-//! of the same type and value. Floating-point numbers only have to be finite numbers. Detects numbers
-//! that were silently converted or truncated and unknown enumerators. Ignores additional fields of
-//! the input.
+//! Checks a decoded value by its re-encoding: true if the fields of `input` that `reencoded` has
+//! are of the same type and value. Floating-point numbers only have to be finite numbers. Detects
+//! numbers that were silently converted or truncated and unknown enumerators. Ignores additional
+//! fields of the input.
 bool matches_reencoded(const nlohmann::json& input, const nlohmann::json& reencoded);
 
 }  // namespace cyclamenmount::detail
--- a/src/codec/tests/codec_tests.cpp
+++ b/src/codec/tests/codec_tests.cpp
@@ -172,8 +172,8 @@
     }
 }
 
-// Guards against store sync that fails between instances of this version and earlier ones, in either
-// direction.
+// Guards against store sync that fails between instances of this version and earlier ones, in
+// either direction.
 TEST(codec, store_sync_messages_of_an_earlier_version_are_understood) {
     const member a{{"a"}, "127.0.0.1:1", {"z1"}};
     const peer_message samples[] = {news_request{a, 7, {{"t", 5}}, "text"},
--- a/src/placement/internal/cost_choice.cpp
+++ b/src/placement/internal/cost_choice.cpp
@@ -176,8 +176,8 @@
 
 //! Removes engines without room, unless none has any: slots are a limit, memory is not.
 indices with_room(const choice_context& context, const indices& from) {
-    const double tokens = static_cast<double>(prompt_tokens(context.wanted.prompt)) +
-                          context.wanted.expected_events;
+    const double tokens =
+        static_cast<double>(prompt_tokens(context.wanted.prompt)) + context.wanted.expected_events;
     indices free_slots;
     indices free_memory;
     for (const std::uint32_t i : from) {
@@ -232,8 +232,8 @@
         decision.report_age = context.now - upstream.reported_at;
     }
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const bool is_next = decision.runner_up.empty() ||
-                             candidates[i].cost_ms < decision.runner_up_cost_ms;
+        const bool is_next =
+            decision.runner_up.empty() || candidates[i].cost_ms < decision.runner_up_cost_ms;
         if (i != chosen && is_next) {
             decision.runner_up = context.upstreams[candidates[i].position].id;
             decision.runner_up_cost_ms = candidates[i].cost_ms;
@@ -369,8 +369,8 @@
     return chosen ? std::optional(context.upstreams[*chosen]) : std::nullopt;
 }
 
-zone_name home_zone(placement_state& state, const fleet_view& view,
-                    const placement_request& wanted, instant now) {
+zone_name home_zone(placement_state& state, const fleet_view& view, const placement_request& wanted,
+                    instant now) {
     const pool_index* const index = update_index(state, view, wanted.pool, now);
     if (index == nullptr) {
         return {};
--- a/src/placement/internal/pool_index.cpp
+++ b/src/placement/internal/pool_index.cpp
@@ -20,6 +20,7 @@
     return std::max(min_refresh_period,
                     to_milliseconds(refresh_ms_per_upstream * static_cast<double>(upstreams)));
 }
+
 //! Step of the logarithm of the factor, by a quarter, and how far beyond the middle between two
 //! steps it has to be before the homes of prefixes change.
 constexpr double step_log = 0.25;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -80,9 +80,9 @@
     upstream_record* record{nullptr};
     upstream_key key{0};
     std::uint64_t id_hash{0};
-    double factor{1};       //!< learned time relative to the pool
-    double weight{1};       //!< in the choice of homes
-    double evidence{0};     //!< number of samples behind `factor`
+    double factor{1};           //!< learned time relative to the pool
+    double weight{1};           //!< in the choice of homes
+    double evidence{0};         //!< number of samples behind `factor`
     outstanding_work others{};  //!< work of the other instances
     load_report report{};       //!< newest one of any instance
     instant reported_at{};      //!< zero if none
@@ -104,8 +104,8 @@
     double cost_ms{0};
     double runner_up_cost_ms{0};
     double factor{1};
-    double evidence{0};        //!< samples behind the factor
-    milliseconds report_age{-1};  //!< of the load report; negative if there is none
+    double evidence{0};               //!< samples behind the factor
+    milliseconds report_age{-1};      //!< of the load report; negative if there is none
     double own_unread_tokens{0};      //!< of the request
     double tokens_to_first_event{0};  //!< unread ones of the request and of those before it
     std::size_t candidates{0};
@@ -134,9 +134,9 @@
     std::set<upstream_id> excluded;       //!< upstreams already tried
     //! Software versions of which the upstream must be one; none: any.
     std::optional<std::set<software_version>> versions;
-    std::uint64_t random{0};  //!< random bits for the choice
-    double expected_events{0};       //!< length of the response; 0 if unknown
-    milliseconds max_event_gap{0};   //!< target for the longest gap between events; 0 if none
+    std::uint64_t random{0};        //!< random bits for the choice
+    double expected_events{0};      //!< length of the response; 0 if unknown
+    milliseconds max_event_gap{0};  //!< target for the longest gap between events; 0 if none
 };
 
 //! A request that is sent under load control.
@@ -148,8 +148,8 @@
 
 //! What a sent request takes at its upstream.
 struct request_load {
-    std::uint64_t unread_tokens{0};  //!< prompt tokens that aren't cached there
-    std::uint64_t kv_tokens{0};      //!< in the key-value cache
+    std::uint64_t unread_tokens{0};   //!< prompt tokens that aren't cached there
+    std::uint64_t kv_tokens{0};       //!< in the key-value cache
     double tokens_to_first_event{0};  //!< unread ones of the request and of those before it
     double factor{1};                 //!< expected factor of the upstream
 };
--- a/src/placement/tests/cost_choice_tests.cpp
+++ b/src/placement/tests/cost_choice_tests.cpp
@@ -67,7 +67,8 @@
     for (int i = 0; i < count; ++i) {
         const std::vector<prompt_part> one{{"s" + std::to_string(i), 3000},
                                            {"o" + std::to_string(i), 900}};
-        const auto chosen = place(state, view, make_request(static_cast<std::uint64_t>(i), one), now);
+        const auto chosen =
+            place(state, view, make_request(static_cast<std::uint64_t>(i), one), now);
         ++placed[chosen->id];
     }
     return placed;
@@ -152,8 +153,8 @@
         ++placed[place(state, view, make_request(draw), start)->id];
     }
     // THEN nearly all go to one engine
-    const auto most = std::ranges::max_element(
-        placed, {}, [](const auto& entry) { return entry.second; });
+    const auto most =
+        std::ranges::max_element(placed, {}, [](const auto& entry) { return entry.second; });
     CHECK_TRUE(most->second > 180);
     // AND the zone for the results of stages is that of this engine
     const auto home = preferred_zone(state, view, make_request(1), start);
--- a/src/placement/tests/uneven_engines_tests.cpp
+++ b/src/placement/tests/uneven_engines_tests.cpp
@@ -111,8 +111,8 @@
         // Instance 0 is the others' sync source; messages take the form that they have on the wire.
         placement_state& state = states_[instance];
         if (needs_sums(observed_, now_)) {
-            record_report(observed_, states_[0].settings.address, own_observations(states_[0], now_),
-                          now_);
+            record_report(observed_, states_[0].settings.address,
+                          own_observations(states_[0], now_), now_);
         }
         if (instance != 0) {
             const std::string sent = encode_observations(own_observations(state, now_));
@@ -152,8 +152,8 @@
         placement_state& state = states_[instance];
         request_load load;
         if (by_cost_) {
-            load = record_sent(
-                state, to, sent_request{prompt, events, &view_.config->pools.at(pool)}, now_);
+            load = record_sent(state, to,
+                               sent_request{prompt, events, &view_.config->pools.at(pool)}, now_);
         } else {
             load.unread_tokens = own_tokens;
             record_sent(state, to, own_tokens, now_);
@@ -171,7 +171,8 @@
         ++one.running;
         one.busy_until = std::max(one.busy_until, now_) +
                          milliseconds(static_cast<int>(unread / tokens_per_ms * one.factor));
-        const instant first = one.busy_until + milliseconds(static_cast<int>(fixed_ms * one.factor));
+        const instant first =
+            one.busy_until + milliseconds(static_cast<int>(fixed_ms * one.factor));
         const instant sent_at = now_;
         at(first, [this, instance, to, load, sent_at] { begin(instance, to, load, sent_at); });
     }
@@ -222,8 +223,8 @@
 };
 
 void print(const char* policy, const figures& of) {
-    std::printf("\n%-16s first event p50 %4.0f p95 %4.0f ms, response p50 %4.0f p95 %4.0f ms", policy,
-                of.first_p50, of.first_p95, of.total_p50, of.total_p95);
+    std::printf("\n%-16s first event p50 %4.0f p95 %4.0f ms, response p50 %4.0f p95 %4.0f ms",
+                policy, of.first_p50, of.first_p95, of.total_p50, of.total_p95);
 }
 
 }  // namespace
--- a/src/telemetry/tests/metrics_tests.cpp
+++ b/src/telemetry/tests/metrics_tests.cpp
@@ -56,6 +56,20 @@
                     page.page().c_str());
 }
 
+// Guards against a page that its reader rejects: one line of the type for all pools.
+TEST(metrics, gauges_of_pools_have_a_label_each) {
+    // GIVEN a gauge of two pools, one of which changes
+    metrics page;
+    page.set_pool_gauge("pool_requests", {"a"}, 1);
+    page.set_pool_gauge("pool_requests", {"b"}, 2);
+    page.set_pool_gauge("pool_requests", {"a"}, 3);
+    // THEN the page has the newest value of each, under one type
+    STRCMP_CONTAINS("# TYPE cyclamenmount_pool_requests gauge\n"
+                    "cyclamenmount_pool_requests{pool=\"a\"} 3\n"
+                    "cyclamenmount_pool_requests{pool=\"b\"} 2\n",
+                    page.page().c_str());
+}
+
 TEST(metrics, label_values_are_escaped) {
     // GIVEN a target with a quote and a newline
     metrics page;
--- a/src/upstream_cost/shared_costs.cpp
+++ b/src/upstream_cost/shared_costs.cpp
@@ -182,8 +182,7 @@
     return *middle;
 }
 
-using entries_by_upstream =
-    std::map<upstream_key, std::vector<const fleet_observations::entry*>>;
+using entries_by_upstream = std::map<upstream_key, std::vector<const fleet_observations::entry*>>;
 
 fleet_observations::total sum_of(std::span<const fleet_observations::entry* const> parts,
                                  instant now) {
@@ -227,18 +226,16 @@
         return;
     }
     fleet.summed_at = now;
-    std::erase_if(fleet.members, [&](const auto& known) {
-        return now - known.second.received_at > max_work_age;
-    });
+    std::erase_if(fleet.members,
+                  [&](const auto& known) { return now - known.second.received_at > max_work_age; });
     entries_by_upstream by_upstream;
     for (auto& [address, member] : fleet.members) {
         for (const auto& [upstream, known] : member.newer) {
             member.entries[upstream] = known;
         }
         member.newer.clear();
-        std::erase_if(member.entries, [&](const auto& known) {
-            return now - known.second.as_of > max_work_age;
-        });
+        std::erase_if(member.entries,
+                      [&](const auto& known) { return now - known.second.as_of > max_work_age; });
         for (const auto& [upstream, known] : member.entries) {
             by_upstream[upstream].push_back(&known);
         }
@@ -262,8 +259,8 @@
             text += entry_separator;
         }
         std::array<char, 16> digits{};
-        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), one.upstream,
-                                       key_base);
+        const auto end =
+            std::to_chars(digits.data(), digits.data() + digits.size(), one.upstream, key_base);
         text.append(digits.data(), end.ptr);
         const auto add_figure = [&](std::int64_t value) {
             text += figure_separator;
--- a/src/upstream_cost/upstream_cost.cpp
+++ b/src/upstream_cost/upstream_cost.cpp
@@ -95,7 +95,8 @@
     }
     route_costs& route = state.routes[seen.route];
     const auto events = static_cast<double>(seen.events);
-    route.events = route.events == 0 ? events : route.events + length_weight * (events - route.events);
+    route.events =
+        route.events == 0 ? events : route.events + length_weight * (events - route.events);
     if (seen.hinted_events > 0) {
         const double actual = std::log(events / seen.hinted_events);
         route.hint_correction_log += length_weight * (actual - route.hint_correction_log);
@@ -119,8 +120,7 @@
 
 upstream_key make_upstream_key(const upstream_id& id, std::uint64_t started_at_ms) {
     constexpr std::uint64_t key_bits = 48;
-    return XXH3_64bits_withSeed(id.value.data(), id.value.size(), started_at_ms) >>
-           (64 - key_bits);
+    return XXH3_64bits_withSeed(id.value.data(), id.value.size(), started_at_ms) >> (64 - key_bits);
 }
 
 void reduce(cost_state& state, const cost_event& happened, instant now) {
@@ -164,8 +164,8 @@
     const double count = seen.count + prior_reading_samples;
     const double mean_tokens = (seen.tokens + half * prior_tokens) / count;
     const double mean_ms = (seen.ms + half * prior.fixed_ms + half * prior_end_ms) / count;
-    const double spread =
-        (seen.tokens_squared + half * prior_tokens * prior_tokens) / count - mean_tokens * mean_tokens;
+    const double spread = (seen.tokens_squared + half * prior_tokens * prior_tokens) / count -
+                          mean_tokens * mean_tokens;
     const double joint =
         (seen.tokens_by_ms + half * prior_tokens * prior_end_ms) / count - mean_tokens * mean_ms;
     reading_estimate line;
@@ -208,9 +208,9 @@
 
 double expected_events(const cost_state& state, const std::string& route, double hinted) {
     const auto found = state.routes.find(route);
-    const double mean =
-        found == state.routes.end() || found->second.events == 0 ? default_events
-                                                                 : found->second.events;
+    const double mean = found == state.routes.end() || found->second.events == 0
+                            ? default_events
+                            : found->second.events;
     if (!(hinted > 0)) {
         return mean;
     }
--- a/src/upstream_cost/upstream_cost.h
+++ b/src/upstream_cost/upstream_cost.h
@@ -62,9 +62,9 @@
 };
 
 struct route_costs {
-    log_evidence durations;          //!< of plain requests, ms
-    double events{0};                //!< smoothed number of events of a response; 0 if unknown
-    double hint_correction_log{0};   //!< smoothed logarithm of actual by hinted length
+    log_evidence durations;         //!< of plain requests, ms
+    double events{0};               //!< smoothed number of events of a response; 0 if unknown
+    double hint_correction_log{0};  //!< smoothed logarithm of actual by hinted length
 };
 
 //! Requests at one upstream that have not ended.
@@ -96,7 +96,8 @@
 struct first_event_observed {
     upstream_key upstream{0};
     pool_name pool;
-    double unread_tokens{0};  //!< of the request and of those before it, as estimated when it was sent
+    //! Of the request and of those before it, as estimated when it was sent.
+    double unread_tokens{0};
     milliseconds took{0};
     double factor{1};  //!< expected factor of the upstream when the request was sent
 };
