Low priorities keep a part of scarce stages; refused callers return by urgency

Cause: a burst of an urgent kind of request starved less urgent ones at stage pools, and refused callers of all priorities returned in the order of chance.

Callers refused for lack of room return in bands by priority; those with little time left come with the first one.

--- a/src/packing/tests/workspace_share_tests.cpp
+++ b/src/packing/tests/workspace_share_tests.cpp
@@ -1,6 +1,7 @@
 //! What each workspace gets of a pool that has too little room for all.
 #include "packing/packer.h"
 #include "packing/tests/pool_replay.h"
+#include "serving/stage_admission.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -43,7 +44,8 @@
             one.job.pieces = kind.pieces;
             one.job.key = "k";
             one.job.result_bytes = kind.result_bytes;
-            one.job.priority = kind.priority;
+            one.job.priority = with_workspaces ? competing_priority(kind.priority, one.job.request)
+                                               : kind.priority;
             one.job.soft_deadline = one.submitted_at + 1000ms;
             one.job.hard_deadline = one.submitted_at + 5000ms;
             one.job.workspace = {with_workspaces ? kind.workspace : ""};
@@ -177,6 +179,21 @@
     CHECK_TRUE(is_room_used(result));
 }
 
+// Guards against a kind of low priority that is starved by a burst of an urgent one.
+TEST(workspace_shares, a_burst_of_an_urgent_kind_starves_no_less_urgent_one) {
+    // GIVEN urgent jobs at 1.6 times the pool's capacity, and less urgent ones
+    std::vector<arrivals> kinds;
+    for (const char* name : {"w1", "w2"}) {
+        kinds.push_back({name, 18, 2, 3'000'000, 0, 0ms, 6000ms, "urgent"});
+        kinds.push_back({name, 8, 2, 3'000'000, 2, 0ms, 6000ms, "other"});
+    }
+    // WHEN they are replayed
+    comparison result = compare("a burst of an urgent kind", pool_model{}, kinds);
+    // THEN the less urgent ones are served at least a quarter as often as all, and no room is lost
+    CHECK_TRUE(is_nobody_starved(result));
+    CHECK_TRUE(is_room_used(result));
+}
+
 // Guards against capacity that is kept back for workspaces that don't want it.
 TEST(workspace_shares, a_lone_workspace_uses_the_whole_pool) {
     // GIVEN one workspace that wants twice the pool's capacity
--- a/src/serving/stage_admission.cpp
+++ b/src/serving/stage_admission.cpp
@@ -69,4 +69,30 @@
     return drained_in + milliseconds(spread * step / steps);
 }
 
+milliseconds spread_retry_after(milliseconds drained_in, int priority, milliseconds left,
+                                std::uint64_t random) {
+    constexpr int bands = 4;
+    constexpr std::uint64_t steps = 64;
+    const milliseconds spread = drained_in / 2;
+    const bool has_time = left > drained_in + spread;
+    const int band = has_time ? std::clamp(priority, 0, bands - 1) : 0;
+    const auto step = static_cast<std::int64_t>(random % steps);
+    return drained_in + spread * band / bands +
+           spread * step / (bands * static_cast<std::int64_t>(steps));
+}
+
+int competing_priority(int priority, std::string_view request) {
+    //! One request in this many competes as the most urgent ones do.
+    constexpr std::uint64_t raised_divisor = 4;
+    // FNV-1a, the same on all architectures.
+    std::uint64_t hash = 14'695'981'039'346'656'037U;
+    for (const char byte : request) {
+        hash = (hash ^ static_cast<unsigned char>(byte)) * 1'099'511'628'211U;
+    }
+    // FNV-1a spreads short texts badly; the last step of MurmurHash3 mixes its bits.
+    constexpr int half = 33;
+    hash = (hash ^ (hash >> half)) * 0xff51'afd7'ed55'8ccdU;
+    return (hash ^ (hash >> half)) % raised_divisor == 0 ? std::min(priority, 0) : priority;
+}
+
 }  // namespace cyclamenmount
--- a/src/serving/stage_admission.h
+++ b/src/serving/stage_admission.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <optional>
+#include <string_view>
 
 namespace cyclamenmount {
 
@@ -51,4 +52,14 @@
 //! that they don't form the next burst.
 milliseconds spread_retry_after(milliseconds drained_in, std::uint64_t random);
 
+//! The same for callers of several priorities: the more urgent ones come first, and so do those
+//! whose deadline, `left` from now, would pass before the last ones come.
+milliseconds spread_retry_after(milliseconds drained_in, int priority, milliseconds left,
+                                std::uint64_t random);
+
+//! Priority of a request in the competition for scarce stages. A fixed part of the requests of each
+//! priority competes as the most urgent one, so that no kind of request is served less than about a
+//! quarter as often as all. The same for all stages of a request, on all instances.
+int competing_priority(int priority, std::string_view request);
+
 }  // namespace cyclamenmount
--- a/src/serving/tests/stage_admission_tests.cpp
+++ b/src/serving/tests/stage_admission_tests.cpp
@@ -100,3 +100,40 @@
     LONGS_EQUAL(750, spread_retry_after(600ms, 32).count());
     CHECK_TRUE(spread_retry_after(600ms, 63) < 900ms);
 }
+
+// Guards against refused callers that return in the order of chance when room is scarce.
+TEST(stage_admission, the_most_urgent_callers_are_told_to_return_first) {
+    // GIVEN a queue that drains in 600 ms
+    // WHEN callers of several priorities with time left are refused
+    const auto delay = [](int priority, milliseconds left, std::uint64_t random) {
+        return spread_retry_after(600ms, priority, left, random);
+    };
+    // THEN each priority returns after the more urgent ones, within half as long again
+    LONGS_EQUAL(600, delay(0, 5s, 0).count());
+    for (int priority = 0; priority < 3; ++priority) {
+        CHECK_TRUE(delay(priority, 5s, 63) < delay(priority + 1, 5s, 0));
+    }
+    CHECK_TRUE(delay(9, 5s, 63) < 900ms);
+    // AND callers with little time left return with the first ones
+    CHECK_TRUE(delay(3, 850ms, 63) < delay(1, 5s, 0));
+}
+
+// Guards against a kind of request that is starved by more urgent ones.
+TEST(stage_admission, a_quarter_of_the_requests_of_each_priority_competes_as_the_most_urgent) {
+    // GIVEN 10,000 requests of a low priority
+    constexpr int count = 10'000;
+    int raised = 0;
+    for (int i = 0; i < count; ++i) {
+        // WHEN their priority at stages is asked for
+        const int priority = competing_priority(2, "r" + std::to_string(i));
+        // THEN it is their own or the most urgent one
+        CHECK_TRUE(priority == 0 || priority == 2);
+        raised += priority == 0 ? 1 : 0;
+    }
+    // AND a quarter of them has the most urgent one
+    CHECK_TRUE(raised > count / 4 - count / 50 && raised < count / 4 + count / 50);
+    // AND none is ever less urgent than its own
+    for (int i = 0; i < 100; ++i) {
+        CHECK_TRUE(competing_priority(-1, std::to_string(i)) == -1);
+    }
+}
