--- a/src/version_rollout/traffic.cpp
+++ b/src/version_rollout/traffic.cpp
@@ -23,12 +23,14 @@
 
 using version_set = std::set<software_version>;
 
-version_set present_versions(const fleet_view& view, const pool_name& pool) {
+//! Versions of the pool's upstreams. Those of the last view, so that a request doesn't go through
+//! all upstreams.
+version_set present_versions(const rollout_state& state, const pool_name& pool) {
     version_set versions;
-    const auto found = view.pools.find(pool);
-    if (found != view.pools.end()) {
-        for (const serving_upstream& upstream : found->second) {
-            versions.insert(upstream.version);
+    const auto found = state.first_seen.find(pool);
+    if (found != state.first_seen.end()) {
+        for (const auto& [version, since] : found->second) {
+            versions.insert(version);
         }
     }
     return versions;
@@ -111,7 +113,7 @@
     if (!state.settings.is_enabled || !state.view) {
         return {};
     }
-    const version_set present = present_versions(*state.view, pool);
+    const version_set present = present_versions(state, pool);
     if (present.size() <= 1) {
         return {};
     }
