--- a/src/version_rollout/orders.cpp
+++ b/src/version_rollout/orders.cpp
@@ -146,10 +146,7 @@
 sorted_orders sort_orders(const fleet_view& view) {
     sorted_orders sorted;
     for (const auto& [name, order] : view.rollouts) {
-        const bool is_known_pool =
-            !view.config || std::ranges::any_of(view.config->pools, [&](const auto& pool) {
-                return pool.first == order.pool;
-            });
+        const bool is_known_pool = !view.config || view.config->pools.contains(order.pool);
         if (!order.fault.empty() || !is_known_pool) {
             sorted.faulty.push_back(order);
             if (order.fault.empty()) {
