--- a/src/serving/stage_admission.cpp
+++ b/src/serving/stage_admission.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <xxhash.h>
+
 namespace cyclamenmount {
 
 namespace {
@@ -84,15 +86,8 @@
 int competing_priority(int priority, std::string_view request) {
     //! One request in this many competes as the most urgent ones do.
     constexpr std::uint64_t raised_divisor = 4;
-    // FNV-1a, the same on all architectures.
-    std::uint64_t hash = 14'695'981'039'346'656'037U;
-    for (const char byte : request) {
-        hash = (hash ^ static_cast<unsigned char>(byte)) * 1'099'511'628'211U;
-    }
-    // FNV-1a spreads short texts badly; the last step of MurmurHash3 mixes its bits.
-    constexpr int half = 33;
-    hash = (hash ^ (hash >> half)) * 0xff51'afd7'ed55'8ccdU;
-    return (hash ^ (hash >> half)) % raised_divisor == 0 ? std::min(priority, 0) : priority;
+    const std::uint64_t hash = XXH3_64bits(request.data(), request.size());
+    return hash % raised_divisor == 0 ? std::min(priority, 0) : priority;
 }
 
 }  // namespace cyclamenmount
