--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -170,9 +170,14 @@
     write_histogram(out, "cyclamenmount_request_ms", impl_->request_ms);
     write_histogram(out, "cyclamenmount_first_frame_ms", impl_->first_frame_ms);
     write_histogram(out, "cyclamenmount_stage_busy_ms", impl_->stage_busy_ms);
+    std::string_view last_family;
     for (const auto& [name, value] : impl_->gauges) {
-        out << "# TYPE cyclamenmount_" << name << " gauge\ncyclamenmount_" << name << ' ' << value
-            << '\n';
+        const std::string_view family = std::string_view(name).substr(0, name.find('{'));
+        if (family != last_family) {
+            out << "# TYPE cyclamenmount_" << family << " gauge\n";
+            last_family = family;
+        }
+        out << "cyclamenmount_" << name << ' ' << value << '\n';
     }
     return out.str();
 }
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -51,7 +51,7 @@
 
     void record(const request_record& ended);
 
-    //! Sets the value of a gauge, e.g. `roster_generation`.
+    //! Sets the value of a gauge, e.g. `roster_generation`. The name may end with labels in braces.
     void set_gauge(const std::string& name, double value);
 
     //! All metrics in the Prometheus text exposition format.
