--- a/src/version_rollout/internal/orders.h
+++ b/src/version_rollout/internal/orders.h
@@ -28,7 +28,7 @@
 //! Moves the order to the step unless that would go back. Returns true if it did.
 bool enter_step(order_progress& progress, rollout_step step, std::string reason, instant now);
 
-//! A decision with what the order tells of it.
+//! A log entry of a decision, with the identity, step and age of its order.
 rollout_decision make_decision(std::string what, const order_progress& progress, std::string why,
                                instant now);
 
