--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,5 +1,6 @@
-"""DENIED: kept connections are held to the limits of the configuration that was in force when they became idle."""
+"""FAILBACK after a rolling restart during which the store's answers are lost and its writes carried out late."""
 import asyncio
+import collections
 import pathlib
 import sys
 
@@ -8,81 +9,95 @@
 import standin as s  # noqa: E402
 
 ZONES = ["cymru-west-a", "cymru-west-b", "cymru-west-c"]
-HOST, SERVICE = "jeye25.example", "archebu"
-EDGES, CONNECTIONS = 3, 24
-OLD_LIMIT, NEW_LIMIT, BODY_BYTES = 1 << 20, 4 << 20, 3 << 19
-IDLE_TIMEOUT_MS = 15000
-WAIT_S = 6.0  # from the acknowledgement to the requests: over config_apply_ms, under four fifths of the idle timeout
+HOST, SERVICE = "jeye25.example", "cegin-llm"
+EDGES = 3
+WARMUP_PER_S, WARMUP_S = 9.3, 3.0
+BOUND = WARMUP_PER_S * s.BOUNDS["warmup_overshoot"] + s.BOUNDS["warmup_tolerance"]  # requests in one second
+LATE_S = 5.0  # of 1 to 6
+RATE, LOAD_FROM, LOAD_TO = 40, -2.0, 5.0  # requests a second, all edges together; around the start of the runner
 
 
-def config(version, max_body_bytes):
-    return {"version": version, "routes": [
-        {"name": "order-confirm", "host": HOST, "path_prefix": "/", "service": SERVICE, "type": "non_idempotent",
-         "timeout_ms": 3000, "slo_ms": 300, "priority": 0, "max_attempts": 1, "session_affinity": False,
+def config():
+    return {"version": 3, "routes": [
+        {"name": "stock-check", "host": HOST, "path_prefix": "/", "service": SERVICE, "type": "idempotent",
+         "timeout_ms": 2000, "slo_ms": 300, "priority": 0, "max_attempts": 2, "session_affinity": False,
          "stream_resume": False, "public": True, "stages": []}],
-        "services": [{"name": SERVICE, "max_connections": 110, "warmup_per_s": 0, "health_path": "/healthz"}],
-        "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body_bytes, "header_timeout_ms": 3000,
-                   "idle_timeout_ms": IDLE_TIMEOUT_MS}}
+        "services": [{"name": SERVICE, "max_connections": 370, "warmup_per_s": WARMUP_PER_S,
+                      "health_path": "/healthz"}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000}}
 
 
-class Client:
-    """Keeps its connection open between its requests."""
+async def clients(edges, record, until, statuses):
+    """Sends requests at an even rate to the edges in turn, each on a connection of its own."""
+    number, jobs = 0, []
 
-    def __init__(self, number, edge, record):
-        self.number, self.edge, self.record, self.sent = number, edge, record, 0
+    async def one(edge, attempt):
+        request = s.make_request("GET", HOST, "/2f", {"X-Attempt-Id": attempt, "X-Deadline-Ms": "2000"})
+        status, _, _ = await s.send(edge, request, 3)
+        statuses[status] += 1
+        record.write(f"client: {attempt} to {edge.name}: {status}")
 
-    async def open(self):
-        self.reader, self.writer = await asyncio.open_connection(*self.edge.frontend)
-
-    async def request(self, body):
-        self.sent += 1
-        attempt = f"{self.number:08x}{self.sent:08x}"
-        status = 0
-        try:
-            async with asyncio.timeout(4):
-                self.writer.write(s.make_request("POST", HOST, "/2f", {"X-Attempt-Id": attempt,
-                                                                       "X-Deadline-Ms": "3000"}, body))
-                message = await s.read_message(self.reader)
-                status = int(message[0].split(" ")[1]) if message else 0
-        except (OSError, TimeoutError, asyncio.IncompleteReadError):
-            pass
-        self.record.write(f"client {self.number}: {attempt}, {len(body)} bytes to {self.edge.name}: {status}")
-        return status
+    while s.now() < until:
+        number += 1
+        jobs.append(asyncio.create_task(one(edges[number % len(edges)], f"{number:016x}")))
+        await asyncio.sleep(1 / RATE)
+    await asyncio.gather(*jobs)
 
 
 async def case(record, folder, has_trouble):
     store = s.Store(f"127.{s.NET}.0.1", record)
     await store.listen()
-    await store.write_call("config", "main", config(3, OLD_LIMIT if has_trouble else NEW_LIMIT))
-    runners = [s.Runner(store, f"127.{s.NET}.1.{10 + n}", f"i-0000000{n}", SERVICE, ZONES[n], slots=6)
-               for n in range(3)]
-    for runner in runners:
+    await store.write_call("config", "main", config())
+    old = s.Runner(store, f"127.{s.NET}.1.10", "i-7f3a91c2", SERVICE, ZONES[0])
+    others = [s.Runner(store, f"127.{s.NET}.1.{20 + n}", f"i-0000000{n}", "archebu", ZONES[n % 3]) for n in range(3)]
+    for runner in [old, *others]:
         await runner.start()
     edges = [s.Edge(store, n, ZONES[n % 3], ZONES, folder) for n in range(EDGES)]
+    new = None
     try:
         for edge in edges:
             await edge.start()
         for edge in edges:
             await edge.await_ready()
-        await asyncio.sleep(4)
-        clients = [Client(number, edges[number % EDGES], record) for number in range(CONNECTIONS)]
-        for client in clients:
-            await client.open()
-        first = await asyncio.gather(*(client.request(b"small") for client in clients))
-        if set(first) != {200}:
-            raise s.CannotRun(f"the first requests weren't served: {first}")
+        await asyncio.sleep(2)
+
+        # Planned work: each machine is stopped and started in turn. The disruption: the answers to the writes of a
+        # stopping machine are lost, and the writes are carried out late.
+        calls_before, begun = store.write_calls, s.now()
         if has_trouble:
-            await store.write_call("config", "main", config(8, NEW_LIMIT))
-            record.write(f"operator: version 8 acknowledged, max_body_bytes {OLD_LIMIT} to {NEW_LIMIT}")
-        await asyncio.sleep(WAIT_S)
-        second = [await client.request(bytes(BODY_BYTES)) for client in clients]
-        fresh = Client(CONNECTIONS, edges[0], record)
-        await fresh.open()
-        record.write(f"on a new connection: {await fresh.request(bytes(BODY_BYTES))}")
-        total = 2 * CONNECTIONS + 1
-        denied = sum(300 <= status < 500 and status not in (408, 421, 429) for status in second)
-        record.write(f"{denied} of {total} requests were denied, of {5 + total / 500:.1f}; answers {second}")
-        return s.BROKEN if denied > 5 + total / 500 else s.HELD
+            store.late_for = lambda method, kind, name: LATE_S if method == "DELETE" else None
+        for edge in edges:
+            await edge.restart_after_term()
+            await edge.await_ready()
+        store.late_for = lambda method, kind, name: None
+        record.write(f"rolling restart done after {s.now() - begun:.1f} s: {store.late_writes} of "
+                     f"{store.write_calls - calls_before} writes were lost and late")
+        await asyncio.sleep(16)  # far beyond contact_ms; the store and all machines are sound
+
+        members = [name for kind, name in store.objects if kind not in ("servers", "config")]
+        record.write(f"objects of the system in the store: {members}")
+
+        # Planned work: the runner is replaced; the new one starts first and is cold.
+        statuses = collections.Counter()
+        load = asyncio.create_task(clients(edges, record, s.now() + LOAD_TO - LOAD_FROM, statuses))
+        await asyncio.sleep(-LOAD_FROM)
+        new = s.Runner(store, f"127.{s.NET}.1.11", "i-91bd3f06", SERVICE, ZONES[1])
+        new.cold_until = s.now() + WARMUP_S
+        await new.start()
+        record.write(f"{new.id}: started, cold for {WARMUP_S} s")
+        await asyncio.sleep(0.2)
+        old.phase = "draining"
+        await old.write_entry()
+        record.write(f"{old.id}: draining")
+        await load
+        cold = [at for at, _ in new.arrivals if at < new.cold_until]
+        most = max((sum(1 for other in cold if at <= other < at + 1) for at in cold), default=0)
+        record.write(f"answers: {dict(statuses)}")
+        record.write(f"requests that reached the cold runner: {len(cold)}; at most {most} in one second, of {BOUND}")
+        if not cold:
+            raise s.CannotRun("no request reached the cold runner")
+        return s.BROKEN if most > BOUND else s.HELD
     finally:
         for edge in edges:
             await edge.stop()
