--- a/review/standins-2/standin.py
+++ b/review/standins-2/standin.py
@@ -16,7 +16,8 @@
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-STORE_PORT = 8624
+STORE_PORT, FRONTEND_PORT = 8624, 8625
+MOST_EDGES = 4
 STARTED = time.monotonic()
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit codes
 
@@ -28,16 +29,22 @@
           "evacuation_ms": 5000, "recovery_s": 12, "iteration_ms": 120, "reuse_window_s": 9.7}
 
 
+def is_free(ip, port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((ip, port))
+        except OSError:
+            return False
+        return True
+
+
 def find_net():
     """A number N such that no other run uses the addresses 127.N.x.y."""
     for number in range(192):
         net = 32 + (os.getpid() + number) % 192
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind((f"127.{net}.0.1", STORE_PORT))
-            except OSError:
-                continue
+        edges = [f"127.{net}.2.{10 + n}" for n in range(MOST_EDGES)]
+        if is_free(f"127.{net}.0.1", STORE_PORT) and all(is_free(ip, FRONTEND_PORT) for ip in edges):
             return net
     raise OSError("no free addresses")
 
@@ -302,13 +309,13 @@
 
     @property
     def frontend(self):
-        return self.ip, 8625
+        return self.ip, FRONTEND_PORT
 
     def write_settings(self, first_start):
         settings = {
             "node_name": self.name, "role": "entry", "machine_class": "edge", "serves": ["edge", "control"],
             "ip": self.ip, "zone": self.zone, "region": "cymru-west", "zones": {z: "cymru-west" for z in self.zones},
-            "listen": {"frontend": f"{self.ip}:8625", "readiness": f"{self.ip}:8621",
+            "listen": {"frontend": f"{self.ip}:{FRONTEND_PORT}", "readiness": f"{self.ip}:8621",
                        "control_plane": f"{self.ip}:8628"},
             "port_range": [7740, 7755], "seed_nodes": [f"127.{NET}.2.{10 + n}:8628" for n in range(3)],
             "bootstrap": first_start, "in_tolerance": False,
