--- a/review/10/case.py
+++ b/review/10/case.py
@@ -14,8 +14,8 @@
 FIRST_PART, SOUND_PART, DEADLY_PART = "5c1e07a2:800", "91bd3f06:410", "e4402b7d:410"
 EVENTS, PAUSE_S = 6, 0.06
 DOWN_S = 2.0  # of a crashed runner
-BEFORE_S, QUIET_S, LOAD_S, PER_S = 8.0, 32.0, 28.0, 4
-DEADLY_AT_S = [0.0, 0.3, 0.6, 14.0, 27.0]  # from the end of the quiet time; 0.048 of the requests from then on
+BEFORE_S, QUIET_S, LOAD_S, PER_S = 8.0, 32.0, 22.0, 6
+DEADLY_AT_S = [0.0, 0.3, 0.6, 12.0, 21.9]  # from the end of the quiet time; 0.042 of the requests from then on
 SOUND_FROM_S = 3.0
 LEAST = 20
 
