--- a/src/callers/http_exchange.cpp
+++ b/src/callers/http_exchange.cpp
@@ -1,5 +1,6 @@
 #include "callers/internal/http_exchange.h"
 
+#include "http_server/request_framing.h"
 #include "pipeline/problem.h"
 
 #include <array>
@@ -59,6 +60,10 @@
 
 decided<request_headers> http_exchange::headers() const {
     const mg_request_info& info = *mg_get_request_info(connection_);
+    if (!is_well_framed(framing_of(info))) {
+        return refuse(refusal_reason::malformed,
+                      "the end of the request can't be told from its headers", "Transfer-Encoding");
+    }
     request_headers found;
 
     struct wanted_header {
--- a/src/callers/internal/http_exchange.h
+++ b/src/callers/internal/http_exchange.h
@@ -16,7 +16,8 @@
     [[nodiscard]] std::string_view path() const;  //!< URL-decoded
     [[nodiscard]] std::string_view query() const;
 
-    //! Returns the headers used; refuses the request if one of them is repeated.
+    //! Returns the headers used; refuses the request if one of them is repeated, or if they don't
+    //! tell where the request ends.
     [[nodiscard]] decided<request_headers> headers() const;
 
     //! Reads the whole body; refuses one of more than `limit` bytes.
--- a/src/callers/tests/hostile_input_tests.cpp
+++ b/src/callers/tests/hostile_input_tests.cpp
@@ -42,6 +42,11 @@
     return bytes + "0\r\n\r\n";
 }
 
+//! A request whose body is one empty chunk, whatever the header lines say of it.
+std::string framed(const std::string& framing) {
+    return "POST /v1/pipelines/menu HTTP/1.1\r\nHost: x\r\n" + key + framing + "\r\n0\r\n\r\n";
+}
+
 std::vector<hostile_case> hostile_cases() {
     const std::string path = "path";
     return {
@@ -115,6 +120,12 @@
          "POST /v1/pipelines/menu HTTP/1.1\r\nHost: x\r\n" + key +
              "Content-Length: 99999999999\r\n\r\n",
          413, "too_large", "body"},
+        {"no coding", framed("Transfer-Encoding: identity\r\n"), 400, "malformed",
+         "Transfer-Encoding"},
+        {"a second coding", framed("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n"),
+         400, "malformed", "Transfer-Encoding"},
+        {"a length and chunks", framed("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"), 400,
+         "malformed", "Transfer-Encoding"},
         {"chunked and too large", chunked_body(body_limit + 8192), 413, "too_large", "body"},
     };
 }
--- a/src/http_exchange/client_exchange.cpp
+++ b/src/http_exchange/client_exchange.cpp
@@ -148,6 +148,13 @@
     while (!failed && !parser_->is_header_done()) {
         failed = co_await step();
     }
+    if (!failed) {
+        failed = check_framing(*parser_, parser_->get().base());
+    }
+    if (!failed) {
+        // The parser adds the fields of a trailer to its own headers (RFC 9110, section 6.5.1).
+        head_ = std::move(parser_->get().base());
+    }
     co_return failed;
 }
 
@@ -230,7 +237,7 @@
         keep_alive_timeout
             ? std::chrono::duration_cast<milliseconds>(*keep_alive_timeout * idle_fraction)
             : default_idle_limit;
-    return writing_->is_done && parser_->get().keep_alive() && with_->buffer.size() == 0 &&
+    return writing_->is_done && parser_->keep_alive() && with_->buffer.size() == 0 &&
            !with_->is_closed;
 }
 
--- a/src/http_exchange/client_exchange.h
+++ b/src/http_exchange/client_exchange.h
@@ -36,12 +36,14 @@
     task<> send();
 
     //! Reads the status line and headers of the next response, after interim ones. Fails with
-    //! `http::error::bad_status` if its status isn't final (200 to 599): the response is then
-    //! broken, and its connection can't be used any more.
+    //! `http::error::bad_status` if its status isn't final (200 to 599), and with
+    //! `http::error::bad_transfer_encoding` if its head doesn't tell where it ends: the response is
+    //! then broken, and its connection can't be used any more.
     task<error_code> read_head();
 
+    //! The status line and headers of the response, without the fields of a trailer.
     [[nodiscard]] const http::response_header<>& head() const {
-        return parser_->get();
+        return head_;
     }
 
     //! Reads the next bytes of the body and sets their number, which may be 0 before the end.
@@ -100,6 +102,7 @@
     std::shared_ptr<writing> writing_;  //!< shared with the coroutine that writes a long body
     receive_account account_;
     std::optional<http::response_parser<http::buffer_body>> parser_;
+    http::response_header<> head_;
     std::size_t kept_elsewhere_{0};
     std::size_t body_bytes_{0};  //!< received of the body of the current response
     bool is_over_bound_{false};
--- a/src/http_exchange/message_reader.cpp
+++ b/src/http_exchange/message_reader.cpp
@@ -1,5 +1,7 @@
 #include "http_exchange/message_reader.h"
 
+#include "types/http_framing.h"
+
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -43,6 +45,29 @@
 template task<error_code> read_step<true>(connection&, http::basic_parser<true>&);
 template task<error_code> read_step<false>(connection&, http::basic_parser<false>&);
 
+template <bool is_request>
+error_code check_framing(const http::basic_parser<is_request>& parser,
+                         const http::header<is_request, http::fields>& head) {
+    constexpr unsigned versions_per_major = 10;
+    message_framing framing;
+    framing.version_minor = static_cast<int>(head.version() % versions_per_major);
+    framing.has_length = head.count(http::field::content_length) != 0;
+    const auto [first, last] = head.equal_range(http::field::transfer_encoding);
+    for (auto field = first; field != last; ++field) {
+        add_transfer_encoding(framing, {field->value().data(), field->value().size()});
+    }
+    const bool is_read_as_chunked = parser.chunked();
+    if (!is_well_framed(framing) || is_read_as_chunked != framing.is_chunked) {
+        return http::error::bad_transfer_encoding;
+    }
+    return {};
+}
+
+template error_code check_framing<true>(const http::basic_parser<true>&,
+                                        const http::header<true, http::fields>&);
+template error_code check_framing<false>(const http::basic_parser<false>&,
+                                         const http::header<false, http::fields>&);
+
 bool is_over_limit(const error_code& failed) {
     return failed == http::error::buffer_overflow || failed == http::error::header_limit ||
            failed == http::error::body_limit;
--- a/src/http_exchange/server_exchange.cpp
+++ b/src/http_exchange/server_exchange.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds refusal_timeout{1000};
 
 using request_parser = http::request_parser<http::string_body>;
+using request_head = http::request_header<>;
 
 http::status status_for(const error_code& failed, bool is_header_done) {
     if (failed == asio::error::timed_out) {
@@ -29,7 +30,8 @@
     return http::status::bad_request;
 }
 
-task<request_read> refuse(connection_ptr caller, http::status status, milliseconds retry_after) {
+task<request_read> refuse(connection_ptr caller, http::status status, std::string why,
+                          milliseconds retry_after) {
     http::response<http::string_body> response(status, 11);
     response.keep_alive(false);
     if (status == http::status::service_unavailable) {
@@ -43,7 +45,7 @@
     const time_limit limited(caller, refusal_timeout);
     error_code ignored;  // the connection is closed in any case
     co_await http::async_write(caller->socket, response, redirect_error_to(ignored));
-    co_return request_read{{}, status};
+    co_return request_read{{}, status, std::move(why)};
 }
 
 //! Advances the parser until it has the headers, or the whole request.
@@ -71,9 +73,16 @@
         const time_limit limited(from, limits.header_time, expiry::cancel);
         failed = co_await advance(*from, parser, false, account);
     }
+    if (!failed) {
+        failed = check_framing(parser, parser.get().base());
+    }
     if (failed) {
         co_return failed;
     }
+    // The parser adds the fields of a trailer to the headers, where they could replace what the
+    // caller's id, key and time limit were taken to be (RFC 9110, section 6.5.1).
+    const std::optional<request_head> head =
+        parser.chunked() ? std::optional(parser.get().base()) : std::nullopt;
     const time_limit limited(from, limits.body_time, expiry::cancel);
     if (!parser.get()[http::field::expect].empty()) {
         co_await asio::async_write(from->socket, asio::buffer(continue_line),
@@ -82,6 +91,9 @@
     if (!failed) {
         failed = co_await advance(*from, parser, true, account);
     }
+    if (head) {
+        parser.get().base() = *head;
+    }
     co_return failed;
 }
 
@@ -102,7 +114,8 @@
         co_return request_read{};
     }
     if (account.is_ended()) {
-        co_return co_await refuse(from, http::status::service_unavailable, limits.retry_after);
+        co_return co_await refuse(from, http::status::service_unavailable, "out of memory",
+                                  limits.retry_after);
     }
     if (!failed) {
         co_return request_read{parser.release(), {}};
@@ -113,7 +126,7 @@
                             failed != http::error::partial_message;
     if (is_too_slow || is_invalid) {
         co_return co_await refuse(from, status_for(failed, parser.is_header_done()),
-                                  limits.retry_after);
+                                  failed.message(), limits.retry_after);
     }
     co_return request_read{};
 }
--- a/src/http_exchange/server_exchange.h
+++ b/src/http_exchange/server_exchange.h
@@ -5,6 +5,7 @@
 #include "http_exchange/receive_ledger.h"
 
 #include <optional>
+#include <string>
 
 #include <boost/beast/http/string_body.hpp>
 
@@ -26,10 +27,11 @@
     //! Status with which a request was refused: it is invalid, exceeds a limit or arrives too
     //! slowly. The connection is then to be closed in order.
     std::optional<http::status> refused;
+    std::string why{};  //!< reason of the refusal
 };
 
-//! Reads a request and books what it keeps. The framing of the body is bounded by the maximum size
-//! of the connection's buffer.
+//! Reads a request and books what it keeps. Fields of a trailer are dropped. The framing of the
+//! body is bounded by the maximum size of the connection's buffer.
 task<request_read> read_request(connection_ptr from, request_limits limits,
                                 receive_account& account);
 
--- a/src/http_exchange/tests/client_exchange_tests.cpp
+++ b/src/http_exchange/tests/client_exchange_tests.cpp
@@ -138,6 +138,46 @@
     }
 }
 
+// Guards against a body that is passed on with a coding nobody removed, or cut at another place
+// than the server meant.
+TEST(client_exchange, a_response_whose_end_its_head_does_not_tell_is_broken) {
+    const std::string length = "Content-Length: " + std::to_string(half.size()) + "\r\n";
+    const std::string unclear[] = {"Transfer-Encoding: gzip\r\n",
+                                   "Transfer-Encoding: gzip, chunked\r\n",
+                                   "Transfer-Encoding: chunked, identity\r\n",
+                                   "Transfer-Encoding:\r\n",
+                                   "Transfer-Encoding: gzip\r\n" + length,
+                                   length + "Transfer-Encoding: gzip\r\n"};
+    for (const std::string& framing : unclear) {
+        // GIVEN a server whose response has another coding than chunks, or a length beside it
+        early_server server([&](const std::string& /*head*/, const early_connection& on) {
+            on.send("HTTP/1.1 200 OK\r\n" + framing + "\r\n" + half);
+            on.finish();
+            (void)on.read_on();
+        });
+        // WHEN a request is sent THEN there is no complete response
+        const exchange_reply reply = run_exchange(server.address(), short_body);
+        STRCMP_EQUAL_TEXT("broken", std::string(enum_name(reply.outcome)).c_str(), framing.c_str());
+    }
+}
+
+// Guards against the end of a body that replaces what the head said.
+TEST(client_exchange, fields_of_a_trailer_are_not_taken_as_headers) {
+    // GIVEN a server whose response ends with fields after its last chunk
+    early_server server([&](const std::string& /*head*/, const early_connection& on) {
+        on.send("HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                "2\r\nhi\r\n0\r\nX-Id: b\r\nX-Other: c\r\n\r\n");
+        (void)on.read_on();
+    });
+    // WHEN a request is sent THEN the response is complete and has the fields of its head alone
+    const exchange_reply reply = run_exchange(server.address(), short_body);
+    CHECK_TRUE(reply.outcome == exchange_outcome::completed);
+    STRCMP_EQUAL("hi", reply.response.body().c_str());
+    LONGS_EQUAL(1, reply.response.count("X-Id"));
+    CHECK_TRUE(reply.response["X-Id"] == "a");
+    LONGS_EQUAL(0, reply.response.count("X-Other"));
+}
+
 // Guards against a limit on a response that depends neither on its size nor on its progress.
 TEST(client_exchange, a_response_in_progress_is_given_up_only_when_it_stops_or_takes_too_long) {
     constexpr milliseconds head_limit{300};
--- a/src/http_server/http_server.cpp
+++ b/src/http_server/http_server.cpp
@@ -1,5 +1,7 @@
 #include "http_server/http_server.h"
 
+#include "http_server/request_framing.h"
+
 #include <array>
 
 #include <civetweb.h>
@@ -88,6 +90,12 @@
 
 http_server_response http_server::impl::respond(mg_connection* connection) const {
     const mg_request_info* const info = mg_get_request_info(connection);
+    if (!is_well_framed(framing_of(*info))) {
+        return {400,
+                "application/problem+json",
+                {},
+                R"({"title":"the end of the request can't be told from its headers"})"};
+    }
     auto body = read_body(connection, info->content_length, max_body_bytes);
     if (!body.has_value()) {
         return {413,
