--- a/src/crash_quarantine/crash_quarantine.cpp
+++ b/src/crash_quarantine/crash_quarantine.cpp
@@ -85,13 +85,30 @@
     return suspect.crashes.size() >= crashes_to_quarantine;
 }
 
+bool is_same_crash(const upstream_crash& one, const upstream_crash& other) {
+    return one.pool == other.pool && one.incarnation == other.incarnation;
+}
+
+bool holds_crash(const crash_suspect& suspect, const upstream_crash& crash) {
+    return std::ranges::any_of(suspect.crashes, [&](const upstream_crash& known) {
+        return is_same_crash(known, crash) && (known.was_trial || !crash.was_trial);
+    });
+}
+
 bool add_crash(crash_suspect& suspect, const upstream_crash& crash) {
-    const auto position = std::ranges::lower_bound(suspect.crashes, crash);
-    const bool is_known = position != suspect.crashes.end() && *position == crash;
-    if (is_known || suspect.crashes.size() >= max_crashes_per_key) {
+    if (holds_crash(suspect, crash)) {
+        return false;
+    }
+    const auto known = std::ranges::find_if(
+        suspect.crashes, [&](const upstream_crash& one) { return is_same_crash(one, crash); });
+    if (known != suspect.crashes.end()) {
+        known->was_trial = true;
+        return true;
+    }
+    if (suspect.crashes.size() >= max_crashes_per_key) {
         return false;
     }
-    suspect.crashes.insert(position, crash);
+    suspect.crashes.insert(std::ranges::lower_bound(suspect.crashes, crash), crash);
     return true;
 }
 
--- a/src/crash_quarantine/crash_quarantine.h
+++ b/src/crash_quarantine/crash_quarantine.h
@@ -6,6 +6,9 @@
 //! upstream, and the keys of each of them become suspects. A key is quarantined once several
 //! upstreams crashed on it, and cleared by an upstream that answers a request with it.
 //!
+//! Sound keys that come with a deadly one are quarantined beside it. As no request with them
+//! reaches an upstream any more, a few are let through as trials; see `trials.h`.
+//!
 //! Pure functions. Suspects are shared by all instances through the store.
 #pragma once
 
@@ -44,10 +47,14 @@
 struct upstream_crash {
     pool_name pool;
     std::string incarnation;  //!< UPSTREAM@STARTED, so that each crash counts once
+    bool was_trial{false};    //!< the request was a trial of the key
 
     auto operator<=>(const upstream_crash&) const = default;
 };
 
+//! True if both are the crash of the same incarnation.
+bool is_same_crash(const upstream_crash& one, const upstream_crash& other);
+
 //! A key that was in progress when upstreams crashed.
 struct crash_suspect {
     std::string key;
@@ -62,7 +69,11 @@
 //! True if enough upstreams crashed to keep the key from all upstreams.
 bool is_quarantined(const crash_suspect& suspect);
 
-//! Adds a crash; false if it is known already or the list of crashes is full.
+//! True if the suspect has the crash, and as that of a trial if `crash` is one.
+bool holds_crash(const crash_suspect& suspect, const upstream_crash& crash);
+
+//! Adds a crash, or marks a known one as that of a trial; false if the suspect holds it already or
+//! its list of crashes is full.
 bool add_crash(crash_suspect& suspect, const upstream_crash& crash);
 
 //! Removes the crashes in a pool whose upstreams have answered the key; false if there are none.
--- a/src/serving/fleet_state.cpp
+++ b/src/serving/fleet_state.cpp
@@ -151,9 +151,8 @@
         keep_stored_crashes(entry);
     }
     entry.stored = written;
-    std::erase_if(entry.unconfirmed, [&](const upstream_crash& crash) {
-        return std::ranges::binary_search(written.value.crashes, crash);
-    });
+    std::erase_if(entry.unconfirmed,
+                  [&](const upstream_crash& crash) { return holds_crash(written.value, crash); });
     const crash_suspect after = merged_suspect(entry);
     if (after == before) {
         return false;
