--- a/src/placement/internal/upstream_filter.cpp
+++ b/src/placement/internal/upstream_filter.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -24,6 +25,7 @@
         return;
     }
     sharing.view_number = view.number;
+    const bool was_known = std::exchange(sharing.is_known, view.members_known);
     const auto known = sharing.last_seen.size();
     for (const member& present : view.members) {
         sharing.last_seen[present.address] = now;
@@ -39,15 +41,21 @@
                 std::min(sharing.next_removal, seen_at + sustained_window + milliseconds(1));
         }
     }
-    if (is_extended || removed != 0) {
+    if (is_extended || removed != 0 || was_known != sharing.is_known) {
         ++sharing.version;
     }
 }
 
-//! Position of this instance among the sharing members for the upstream, by rendezvous weight.
+//! Position of this instance among the sharing members for the upstream, by rendezvous weight. The
+//! others don't count an instance that isn't listed, so that it comes behind them all and gets no
+//! part.
 instance_rank rank_for(const placement_state& state, const upstream_id& upstream) {
+    const int instances = std::max(1, static_cast<int>(state.sharing.last_seen.size()));
+    if (state.sharing.is_known && !state.sharing.last_seen.contains(state.settings.address)) {
+        return {instances, instances};
+    }
     const auto own_weight = rendezvous_weight({state.settings.address}, upstream.value);
-    instance_rank rank{0, std::max(1, static_cast<int>(state.sharing.last_seen.size()))};
+    instance_rank rank{0, instances};
     for (const auto& [address, seen_at] : state.sharing.last_seen) {
         rank.before += rendezvous_weight({address}, upstream.value) > own_weight ? 1 : 0;
     }
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -75,6 +75,7 @@
     std::map<std::string, instant> last_seen;  //!< by address
     std::uint64_t version{0};                  //!< changes with the addresses
     std::uint64_t view_number{0};              //!< view that was applied last
+    bool is_known{false};                      //!< that view holds the list of members
     instant next_removal{instant::max()};      //!< when the next one that has left is removed
 };
 
--- a/src/serving/fleet_state.cpp
+++ b/src/serving/fleet_state.cpp
@@ -321,8 +321,9 @@
             return members.emplace(address, state.members.at(address)).second;
         });
     state.members_version = std::max(state.members_version, listed.revision);
-    const bool is_changed = members != state.members;
+    const bool is_changed = !state.members_known || members != state.members;
     state.members = std::move(members);
+    state.members_known = true;
     return is_changed;
 }
 
@@ -369,6 +370,7 @@
     view->stream_versions = state.stream_versions;
     view->rollouts = state.rollouts;
     view->upstreams_known = state.upstreams_known;
+    view->members_known = state.members_known;
     view->number = ++state.view_count;
     return view;
 }
@@ -417,7 +419,11 @@
                 state.members[written.value.address] = written.value;
             },
             [&](const member_removed& removed) {
-                is_changed = state.members.erase(removed.address) != 0;
+                const auto known = state.members.find(removed.address);
+                is_changed = known != state.members.end() && known->second.id == removed.id;
+                if (is_changed) {
+                    state.members.erase(known);
+                }
             },
             [&](const rollouts_listed& listed) {
                 is_changed = listed.orders != state.rollouts;
--- a/src/serving/fleet_state.h
+++ b/src/serving/fleet_state.h
@@ -65,6 +65,7 @@
 //! The entry of an instance was deleted.
 struct member_removed {
     std::string address;
+    instance_id id{};  //!< an entry that another process wrote for the address stays
 };
 
 //! A suspect as stored.
@@ -191,6 +192,7 @@
     pool_versions stream_versions;    //!< see `fleet_view`
     rollout_orders rollouts;          //!< see `fleet_view`
     bool upstreams_known{false};      //!< the list of upstreams was read at least once
+    bool members_known{false};        //!< the list of instances was read at least once
     bool store_reached{false};        //!< the store answered the last call
     instant store_reachable_since{};  //!< end of the last store outage
     std::uint64_t view_count{0};      //!< number of views published so far
--- a/src/serving/types/fleet_view.h
+++ b/src/serving/types/fleet_view.h
@@ -7,9 +7,11 @@
 #include "types/rollout.h"
 #include "types/stream_origin.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace cyclamenmount {
@@ -41,9 +43,17 @@
     pool_versions stream_versions;
     rollout_orders rollouts;      //!< orders to move traffic between software versions
     bool upstreams_known{false};  //!< the list of upstreams was read at least once
+    bool members_known{false};    //!< the list of instances was read at least once
     std::uint64_t number{0};      //!< sequence number of the view within this process
 };
 
 using fleet_view_ptr = std::shared_ptr<const fleet_view>;
 
+//! True if the instance has a part of what the members divide among them. One that isn't listed has
+//! none, as the others don't count it. Without a list, it acts alone.
+inline bool has_share(const fleet_view& view, std::string_view address) {
+    return !view.members_known ||
+           std::ranges::find(view.members, address, &member::address) != view.members.end();
+}
+
 }  // namespace cyclamenmount
--- a/src/upstream_directives/upstream_directives.cpp
+++ b/src/upstream_directives/upstream_directives.cpp
@@ -56,6 +56,9 @@
 
 int share_of(int total, const instance_rank& rank) {
     const int instances = std::max(1, rank.instances);
+    if (rank.before >= instances) {
+        return 0;
+    }
     return total / instances + (rank.before < total % instances ? 1 : 0);
 }
 
--- a/src/upstream_directives/upstream_directives.h
+++ b/src/upstream_directives/upstream_directives.h
@@ -26,7 +26,8 @@
 
 //! Position of an instance among those that share an upstream.
 struct instance_rank {
-    int before{0};     //!< instances that rank higher for this upstream
+    //! Instances that rank higher for this upstream; all of them if this one isn't counted.
+    int before{0};
     int instances{1};  //!< all instances, including this one
 };
 
