--- a/src/placement/internal/upstream_filter.cpp
+++ b/src/placement/internal/upstream_filter.cpp
@@ -46,12 +46,17 @@
     }
 }
 
+//! True if the others count this instance.
+bool has_part(const placement_state& state) {
+    return !state.sharing.is_known || state.sharing.last_seen.contains(state.settings.address);
+}
+
 //! Position of this instance among the sharing members for the upstream, by rendezvous weight. The
 //! others don't count an instance that isn't listed, so that it comes behind them all and gets no
 //! part.
 instance_rank rank_for(const placement_state& state, const upstream_id& upstream) {
     const int instances = std::max(1, static_cast<int>(state.sharing.last_seen.size()));
-    if (state.sharing.is_known && !state.sharing.last_seen.contains(state.settings.address)) {
+    if (!has_part(state)) {
         return {instances, instances};
     }
     const auto own_weight = rendezvous_weight({state.settings.address}, upstream.value);
@@ -78,6 +83,11 @@
     return found == view.config->pools.end() ? nullptr : &found->second;
 }
 
+int sharing_instances(placement_state& state, const fleet_view& view, instant now) {
+    update_sharing(state.sharing, view, now);
+    return has_part(state) ? std::max(1, static_cast<int>(state.sharing.last_seen.size())) : 0;
+}
+
 const instance_rank& cached_rank(placement_state& state, const fleet_view& view,
                                  const upstream_id& upstream, instant now) {
     update_sharing(state.sharing, view, now);
--- a/src/placement/internal/upstream_filter.h
+++ b/src/placement/internal/upstream_filter.h
@@ -22,6 +22,9 @@
 //! Null if the configuration doesn't name the pool.
 const pool_limits* limits_of(const fleet_view& view, const pool_name& pool);
 
+//! Number of instances by which the rates of upstreams are divided; 0 if this one has no part.
+int sharing_instances(placement_state& state, const fleet_view& view, instant now);
+
 //! Position of this instance among those that share the upstream's rates.
 const instance_rank& cached_rank(placement_state& state, const fleet_view& view,
                                  const upstream_id& upstream, instant now);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -133,6 +133,10 @@
     return choose(state, cold, wanted, now);
 }
 
+int share_divisor(placement_state& state, const fleet_view& view, instant now) {
+    return sharing_instances(state, view, now);
+}
+
 milliseconds time_to_room(placement_state& state, const fleet_view& view, const pool_name& pool,
                           instant now) {
     milliseconds earliest = milliseconds::max();
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -165,6 +165,10 @@
 std::optional<serving_upstream> place(placement_state& state, const fleet_view& view,
                                       const placement_request& wanted, instant now);
 
+//! Number of instances by which the rates of upstreams are divided: members, and those that left a
+//! short time ago. 0 if this instance has no part, as it isn't listed.
+int share_divisor(placement_state& state, const fleet_view& view, instant now);
+
 //! Time until the directives of at least one upstream of the pool allow a request of this instance;
 //! `milliseconds::max()` if the pool has no upstream, or only leaving ones.
 milliseconds time_to_room(placement_state& state, const fleet_view& view, const pool_name& pool,
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -185,6 +185,38 @@
     LONGS_EQUAL(18, sent);
 }
 
+// Guards against shares that sum up to more than the whole: the others don't count an instance that
+// isn't listed.
+TEST(placement, an_instance_that_is_not_listed_has_no_part_of_a_cold_upstream) {
+    // GIVEN a cold upstream and an instance that is listed beside another one
+    serving_upstream cold = make_upstream("cold", "z1", 64);
+    cold.cold_until = start + 60s;
+    fleet_view view = make_view({cold}, 2);
+    view.members_known = true;
+    view.number = 1;
+    placement_state state;
+    state.settings.address = "i1:7";
+    LONGS_EQUAL(2, share_divisor(state, view, start));
+    CHECK_TRUE(place(state, view, make_request(false), start).has_value());
+    // WHEN its entry is gone THEN it keeps its part for as long as the others count it
+    view.members.pop_back();
+    view.number = 2;
+    LONGS_EQUAL(2, share_divisor(state, view, start + 1s));
+    CHECK_TRUE(place(state, view, make_request(false), start + 1s).has_value());
+    // AND has none from then on, also where no instance is listed any more
+    for (int number = 3; number <= 4; ++number) {
+        view.number = static_cast<std::uint64_t>(number);
+        LONGS_EQUAL(0, share_divisor(state, view, start + number * 10s));
+        CHECK_FALSE(place(state, view, make_request(false), start + number * 10s).has_value());
+        view.members.clear();
+    }
+    // WHEN it is listed again THEN it has its part
+    view.members.push_back({{"i1"}, "i1:7", {"z1"}});
+    view.number = 5;
+    LONGS_EQUAL(1, share_divisor(state, view, start + 50s));
+    CHECK_TRUE(place(state, view, make_request(false), start + 50s).has_value());
+}
+
 TEST(placement, requests_stay_in_their_zone_until_it_is_full) {
     // GIVEN upstreams in two zones
     placement_state state;
--- a/src/serving/tests/fleet_state_tests.cpp
+++ b/src/serving/tests/fleet_state_tests.cpp
@@ -130,6 +130,19 @@
     LONGS_EQUAL(2, usable_count(back.view));
 }
 
+// Guards against the late deletion of a process's entry that takes its successor off the list.
+TEST(fleet_state, the_deletion_of_another_processes_entry_leaves_a_member_listed) {
+    // GIVEN a member whose address an earlier process had
+    fleet_state state;
+    reduce(state, members_listed{{{{"second"}, "10.0.0.1:7", {"z"}}}, 5}, start);
+    // WHEN the entry of the earlier process is deleted THEN the member stays
+    CHECK_FALSE(reduce(state, member_removed{"10.0.0.1:7", {"first"}}, start).view);
+    LONGS_EQUAL(1, state.members.size());
+    // WHEN its own is deleted THEN it is gone
+    CHECK_TRUE(reduce(state, member_removed{"10.0.0.1:7", {"second"}}, start).view != nullptr);
+    LONGS_EQUAL(0, state.members.size());
+}
+
 TEST(fleet_state, updates_that_arrive_together_make_one_view) {
     // GIVEN one page of the store with the entries of 500 upstreams
     fleet_state state = make_fleet_state();
