--- a/src/crash_quarantine/tests/trial_tests.cpp
+++ b/src/crash_quarantine/tests/trial_tests.cpp
@@ -23,10 +23,7 @@
 milliseconds time_to_trial_of(const trial_records& records, const crash_suspects& suspects,
                               const parts& keys, instant now, trial_turn turn = {},
                               bool is_repeatable = true) {
-    return decide_trial(
-               records, suspects, {keys, is_repeatable},
-               [&](std::string_view /*key*/) { return turn; }, now)
-        .wait;
+    return decide_trial(records, suspects, {keys, is_repeatable}, turn, now).wait;
 }
 
 }  // namespace
@@ -144,6 +141,38 @@
     CHECK_TRUE(time_to_trial_of(records, suspects, keys, start + 11s) == 0ms);
 }
 
+// Guards against a request with two sound parts that no instance ever tries, as their turns differ.
+TEST(trials, a_request_with_several_quarantined_parts_has_a_turn) {
+    // GIVEN crashes with two sound parts and a deadly one, which became known at different times
+    crash_suspects suspects;
+    trial_records records;
+    for (const int upstream : {1, 2, 3}) {
+        crash(suspects, upstream, {"first", "deadly"});
+    }
+    follow_suspects(records, suspects, start);
+    for (const int upstream : {1, 2, 3}) {
+        crash(suspects, upstream, {"second"});
+    }
+    follow_suspects(records, suspects, start + 300ms);
+    // WHEN requests hold both sound parts THEN it is one of five instances' turn at any time from
+    // the later trial on
+    const parts keys{"first", "second", "sound"};
+    CHECK_TRUE(time_to_trial_of(records, suspects, keys, start + 1s) == 300ms);
+    for (int step = 0; step < 50; ++step) {
+        int ready = 0;
+        for (std::size_t rank = 0; rank < 5; ++rank) {
+            ready += time_to_trial_of(records, suspects, keys, start + 1300ms + step * 100ms,
+                                      {rank, 5}) == 0ms
+                         ? 1
+                         : 0;
+        }
+        LONGS_EQUAL(1, ready);
+    }
+    // AND both are then on trial
+    const auto decision = decide_trial(records, suspects, {keys, true}, {}, start + 2s);
+    CHECK_TRUE(decision.quarantined == (parts{"first", "second"}));
+}
+
 TEST(trials, what_is_known_of_a_cleared_key_is_forgotten) {
     // GIVEN a quarantined part
     crash_suspects suspects;
--- a/src/crash_quarantine/trials.cpp
+++ b/src/crash_quarantine/trials.cpp
@@ -63,6 +63,16 @@
            (record.ended_at != instant{} && now < record.ended_at + report_time);
 }
 
+//! The record of the suspect; one that begins now if no view holds its last crash yet.
+trial_record record_of(const trial_records& records, const crash_suspect& suspect, instant now) {
+    const auto found = records.find(suspect.key);
+    trial_record record = found == records.end() ? trial_record{} : found->second;
+    if (record.crashes < suspect.crashes.size()) {
+        record.changed_at = now;
+    }
+    return record;
+}
+
 //! Time until the instance's turn, `since_first` after the first turn began.
 milliseconds time_to_turn(trial_turn turn, milliseconds since_first) {
     const auto instances = static_cast<std::int64_t>(std::max<std::size_t>(1, turn.instances));
@@ -121,43 +131,34 @@
     }
 }
 
-milliseconds time_to_trial(const trial_records& records, const crash_suspects& suspects,
-                           const crash_suspect& quarantined, const trial_candidate& candidate,
-                           trial_turn turn, instant now) {
-    const milliseconds delay =
-        delay_of_next(quarantined, weigh_evidence(suspects, quarantined, candidate.keys)) +
-        (candidate.is_repeatable ? 0ms : unrepeatable_delay);
-    const auto found = records.find(quarantined.key);
-    if (found == records.end() || found->second.crashes < quarantined.crashes.size()) {
-        return delay;  // no view holds the last crash yet
-    }
-    if (awaits_result(found->second, now)) {
-        return report_time;
-    }
-    const instant first_turn = found->second.changed_at + delay;
-    if (now < first_turn) {
-        return first_turn - now + time_to_turn(turn, 0ms);
-    }
-    return time_to_turn(turn, now - first_turn);
-}
-
 trial_decision decide_trial(const trial_records& records, const crash_suspects& suspects,
-                            const trial_candidate& candidate,
-                            const std::function<trial_turn(std::string_view key)>& turn_of,
-                            instant now) {
+                            const trial_candidate& candidate, trial_turn turn, instant now) {
     trial_decision decision;
+    instant first_turn{};
+    bool is_awaited = false;
     for (const std::string& key : candidate.keys) {
         const auto found = suspects.find(key);
         if (found == suspects.end() || !is_quarantined(found->second)) {
             continue;
         }
         decision.quarantined.push_back(key);
-        const milliseconds wait =
-            time_to_trial(records, suspects, found->second, candidate, turn_of(key), now);
-        if (decision.decisive.empty() || wait > decision.wait) {
+        const trial_record record = record_of(records, found->second, now);
+        const milliseconds delay =
+            delay_of_next(found->second, weigh_evidence(suspects, found->second, candidate.keys));
+        if (decision.decisive.empty() || record.changed_at + delay > first_turn) {
             decision.decisive = key;
-            decision.wait = wait;
+            first_turn = record.changed_at + delay;
         }
+        is_awaited = is_awaited || awaits_result(record, now);
+    }
+    if (decision.quarantined.empty()) {
+        return decision;
+    }
+    first_turn += candidate.is_repeatable ? 0ms : unrepeatable_delay;
+    decision.wait = now < first_turn ? first_turn - now + time_to_turn(turn, 0ms)
+                                     : time_to_turn(turn, now - first_turn);
+    if (is_awaited) {
+        decision.wait = std::max(decision.wait, report_time);
     }
     return decision;
 }
--- a/src/crash_quarantine/trials.h
+++ b/src/crash_quarantine/trials.h
@@ -12,11 +12,9 @@
 #include "crash_quarantine/crash_quarantine.h"
 
 #include <cstddef>
-#include <functional>
 #include <map>
 #include <span>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace cyclamenmount {
@@ -33,7 +31,8 @@
 crash_evidence weigh_evidence(const crash_suspects& suspects, const crash_suspect& quarantined,
                               std::span<const std::string> keys);
 
-//! Place of an instance in the order in which the instances try a key.
+//! Place of an instance in the order in which the instances try keys. It is the same for all keys,
+//! so that a request that holds several of them has a turn too.
 struct trial_turn {
     std::size_t rank{0};
     std::size_t instances{1};
@@ -59,23 +58,16 @@
     bool is_repeatable{false};  //!< others wait longer, so that it goes first
 };
 
-//! Time until this instance may try the key with the request; zero: now.
-milliseconds time_to_trial(const trial_records& records, const crash_suspects& suspects,
-                           const crash_suspect& quarantined, const trial_candidate& candidate,
-                           trial_turn turn, instant now);
-
 //! What a request's quarantined keys ask for.
 struct trial_decision {
     std::vector<std::string> quarantined;  //!< the request's quarantined keys
-    std::string decisive;  //!< the one that keeps the request waiting; empty if there is none
+    std::string decisive;  //!< the one whose trials begin last; empty if there is none
     milliseconds wait{0};  //!< time until the request may be a trial of all of them
 };
 
-//! Decides on a request; `turn_of` returns this instance's turn for a key.
+//! Decides on a request of an instance with the turn.
 trial_decision decide_trial(const trial_records& records, const crash_suspects& suspects,
-                            const trial_candidate& candidate,
-                            const std::function<trial_turn(std::string_view key)>& turn_of,
-                            instant now);
+                            const trial_candidate& candidate, trial_turn turn, instant now);
 
 //! Starts and ends a trial of the keys.
 void begin_trial(trial_records& records, std::span<const std::string> keys);
