--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -555,43 +555,77 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-async def send_request(fleet, edge, host, attempt, headers, body=b"hi", limit_s=5.0, on_event=None):
-    """One request on a new connection. Returns (status, complete, headers); status None: no answer.
+class Caller:
+    """A client's connection to an edge, kept for one request after the other."""
 
-    `on_event(id, data)` is called for each event of a stream.
-    """
-    status, complete, answer_headers, writer = None, False, {}, None
-    deadline = now() + limit_s
-    try:
-        reader, writer = await asyncio.wait_for(
-            asyncio.open_connection(edge.ip, fleet.ports["frontend"]), 1)
-        writer.write(message(f"POST /{attempt[:6]} HTTP/1.1",
-                             {"Host": host, "X-Attempt-Id": attempt,
-                              "X-Deadline-Ms": int(limit_s * 1000)} | headers, body))
-        head = await asyncio.wait_for(read_head(reader), max(0.01, deadline - now()))
-        if head is None:
-            return None, False, {}
-        status, answer_headers = int(head[0].split(" ")[1]), head[1]
-        if answer_headers.get("transfer-encoding") != "chunked":
-            await asyncio.wait_for(read_body(reader, answer_headers), max(0.01, deadline - now()))
-            return status, True, answer_headers
+    def __init__(self, fleet, edge):
+        self.fleet, self.edge = fleet, edge
+        self.reader = self.writer = None
+        self.answered = 0  # requests on this connection with a complete answer
+
+    @property
+    def is_kept(self):
+        return self.answered > 0
+
+    def close(self):
+        if self.writer:
+            self.writer.close()
+        self.reader = self.writer = None
+        self.answered = 0
+
+    async def request(self, host, attempt, headers, body=b"hi", limit_s=5.0, on_event=None):
+        """Returns (status, complete, headers); status None: no answer.
+
+        `on_event(id, data)` is called for each event of a stream.
+        """
+        status, complete, answer_headers = None, False, {}
+        deadline = now() + limit_s
+        try:
+            if self.writer is None:
+                self.reader, self.writer = await asyncio.wait_for(
+                    asyncio.open_connection(self.edge.ip, self.fleet.ports["frontend"]), 1)
+            self.writer.write(message(f"POST /{attempt[:6]} HTTP/1.1",
+                                      {"Host": host, "X-Attempt-Id": attempt,
+                                       "X-Deadline-Ms": int(limit_s * 1000)} | headers, body))
+            head = await asyncio.wait_for(read_head(self.reader), max(0.01, deadline - now()))
+            if head is None:
+                raise ConnectionError
+            status, answer_headers = int(head[0].split(" ")[1]), head[1]
+            if answer_headers.get("transfer-encoding") == "chunked":
+                await self.read_events(deadline, on_event)
+            else:
+                await asyncio.wait_for(read_body(self.reader, answer_headers),
+                                       max(0.01, deadline - now()))
+            complete = True
+            self.answered += 1
+            if answer_headers.get("connection", "").lower() == "close":
+                self.close()
+        except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            self.close()
+        return status, complete, answer_headers
+
+    async def read_events(self, deadline, on_event):
         buffered = b""
         while True:
             left = max(0.01, deadline - now())
-            size = int(await asyncio.wait_for(reader.readuntil(b"\r\n"), left), 16)
-            buffered += (await asyncio.wait_for(reader.readexactly(size + 2), left))[:-2]
+            size = int(await asyncio.wait_for(self.reader.readuntil(b"\r\n"), left), 16)
+            buffered += (await asyncio.wait_for(self.reader.readexactly(size + 2), left))[:-2]
             while b"\n\n" in buffered:
                 event, _, buffered = buffered.partition(b"\n\n")
                 fields = dict(line.split(": ", 1) for line in event.decode().split("\n"))
                 if on_event:
                     on_event(int(fields["id"]), fields["data"])
             if size == 0:
-                return status, True, answer_headers
-    except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-        return status, complete, answer_headers
+                return
+
+
+async def send_request(fleet, edge, host, attempt, headers, **more):
+    """One request on a new connection; as `Caller.request`."""
+    caller = Caller(fleet, edge)
+    try:
+        return await caller.request(host, attempt, headers, **more)
     finally:
-        if writer:
-            writer.close()
+        caller.close()
 
 
 def run_case(case, limit_s=115):
