--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -21,6 +21,7 @@
 ZONES = ["cymru-west-a", "cymru-west-b", "cymru-west-c"]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
+STARTED = []  # all processes that this run has started
 
 
 def now():
@@ -39,6 +40,16 @@
             one.close()
 
 
+async def cancel_all(tasks):
+    """Cancels tasks until they end: `asyncio.wait_for` of Python 3.11 may lose a cancellation."""
+    pending = [task for task in tasks if not task.done()]
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, left = await asyncio.wait(pending, timeout=0.2)
+        pending = list(left)
+
+
 class Record:
     """The file record.txt: what was sent, answered and run, with seconds since the start."""
 
@@ -457,6 +468,7 @@
         self.process = await asyncio.create_subprocess_exec(
             *self.fleet.run_line, env=environment | {"CYCLAMENMOUNT_BOOT": str(path)},
             stdout=self.log, stderr=self.log, cwd=ROOT)
+        STARTED.append(self.process)
         self.starts += 1
         self.fleet.record.write(f"platform starts {self.name}, pid {self.process.pid}")
 
@@ -565,11 +577,10 @@
                 await runner.register()
 
     async def stop(self):
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_all(self.tasks)
         for edge in self.edges:
             edge.signal(signal.SIGKILL)
+        for edge in self.edges:
             if edge.process:
                 await edge.process.wait()
         for server in [self.store, *self.doors, *self.runners]:
@@ -671,4 +682,13 @@
             print(f"could not run: {failed!r}", file=sys.stderr)
         return EXIT_NOT_RUN
 
-    sys.exit(asyncio.run(limited()))
+    async def run():
+        try:
+            return await limited()
+        finally:
+            # Also where the case was interrupted while it ended its processes.
+            for process in STARTED:
+                if process.returncode is None:
+                    process.kill()
+
+    sys.exit(asyncio.run(run()))
