--- a/src/codec/json_split.h
+++ b/src/codec/json_split.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -31,6 +32,10 @@
 //! Elements of an array; empty if the text is no array.
 std::vector<std::string_view> split_json_array(std::string_view text);
 
+//! Bytes of a JSON string whose text is given with its quotes; none if it is no string. They
+//! needn't be valid UTF-8: an unpaired surrogate has the three bytes of its code point.
+std::optional<std::string> decode_string_bytes(std::string_view text);
+
 //! Parses a text that isn't nested too deeply; none if it can't be read.
 std::optional<nlohmann::json> parse_bounded_json(std::string_view text);
 
--- a/src/codec/tests/json_split_tests.cpp
+++ b/src/codec/tests/json_split_tests.cpp
@@ -39,3 +39,26 @@
     CHECK_FALSE(parse_bounded_json("[1").has_value());
     CHECK_FALSE(parse_bounded_json("").has_value());
 }
+
+// Guards against names of other writers that can't be told apart once they are decoded.
+TEST(json_split, strings_have_their_bytes_also_if_they_are_no_text) {
+    const std::pair<const char*, const char*> rows[] = {
+        {R"("a b")", "a b"},
+        {R"("\"\\\/\b\f\n\r\t")", "\"\\/\b\f\n\r\t"},
+        {R"("\u0041\u00e9\u20ac")", "A\xC3\xA9\xE2\x82\xAC"},
+        {R"("\ud83d\ude00")", "\xF0\x9F\x98\x80"},
+        {R"("a\udc80z")", "a\xED\xB2\x80z"},
+        {R"("\ud83dz")", "\xED\xA0\xBDz"},
+        {R"("\ud83d\ud83d")", "\xED\xA0\xBD\xED\xA0\xBD"},
+        {"\"a\x80\"", "a\x80"},
+    };
+    for (const auto& [text, bytes] : rows) {
+        const auto decoded = decode_string_bytes(text);
+        CHECK_TRUE(decoded.has_value());
+        STRCMP_EQUAL(bytes, decoded->c_str());
+    }
+    for (const char* const text :
+         {"", "7", "\"", "a", R"("\x")", R"("\u12")", R"("\u12g4")", R"("\")"}) {
+        CHECK_FALSE(decode_string_bytes(text).has_value());
+    }
+}
--- a/src/object_api_client/responses.cpp
+++ b/src/object_api_client/responses.cpp
@@ -1,5 +1,7 @@
 #include "object_api_client/internal/responses.h"
 
+#include "codec/percent_encoding.h"
+
 #include <charconv>
 
 #include <nlohmann/json.hpp>
@@ -148,21 +150,7 @@
 }
 
 std::string encode_path(std::string_view text) {
-    static constexpr std::string_view hex = "0123456789ABCDEF";
-    static constexpr std::string_view plain = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
-                                              "0123456789-._~/";
-    std::string encoded;
-    for (const char c : text) {
-        if (plain.find(c) != std::string_view::npos) {
-            encoded += c;
-            continue;
-        }
-        const auto byte = static_cast<unsigned char>(c);
-        encoded += '%';
-        encoded += hex[byte >> 4U];
-        encoded += hex[byte & 15U];
-    }
-    return encoded;
+    return percent_encode(text, "/");
 }
 
 }  // namespace cyclamenmount::detail
