--- a/src/decision_log/decision_log.cpp
+++ b/src/decision_log/decision_log.cpp
@@ -15,8 +15,17 @@
 constexpr std::size_t max_write_bytes = 4096;
 constexpr double ms_per_second = 1000;
 
+//! Longest value on a line; the rest of a longer one is cut off.
+constexpr std::size_t max_value_bytes = 1024;
+
+bool is_control(char c) {
+    constexpr char del = 0x7f;
+    return static_cast<unsigned char>(c) < ' ' || c == del;
+}
+
 bool needs_quotes(std::string_view value) {
-    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
+    return value.empty() || value.find_first_of(" \"=") != std::string_view::npos ||
+           std::ranges::any_of(value, is_control);
 }
 
 bool is_writable(int descriptor) {
@@ -43,6 +52,7 @@
 
 log_entry& log_entry::add(std::string_view name, std::string_view value) {
     text_.append(" ").append(name).append("=");
+    value = value.substr(0, max_value_bytes);
     if (!needs_quotes(value)) {
         text_.append(value);
         return *this;
@@ -52,7 +62,7 @@
         if (c == '"' || c == '\\') {
             text_ += '\\';
         }
-        text_ += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+        text_ += is_control(c) ? ' ' : c;
     }
     text_ += '"';
     return *this;
