--- a/src/packing/packer.cpp
+++ b/src/packing/packer.cpp
@@ -2,6 +2,7 @@
 
 #include "packing/internal/job_shares.h"
 #include "packing/internal/selection.h"
+#include "serving/stage_capacity.h"
 #include "types/numeric.h"
 #include "types/overloaded.h"
 
@@ -163,17 +164,23 @@
     if (state.jobs.contains(job.id)) {
         return;
     }
+    const bool is_beyond_share = detail::would_be_beyond_share(state, job, now);
+    // The instance that has the request checks the pieces too, but a peer may send any number.
+    const bool is_oversized =
+        job.pieces > max_pieces(state.limits, state.upstreams.size(), job.hard_deadline - now);
+    if (state.upstreams.empty() || is_oversized) {
+        const auto why = is_oversized && !state.upstreams.empty() ? pieces_verdict::overloaded
+                                                                  : pieces_verdict::no_upstream;
+        reject_job(state, job.id, why, retry_delay(state, is_beyond_share, now), now, out);
+        return;
+    }
     open_job open;
     open.job = job;
     open.progress.assign(static_cast<std::size_t>(job.pieces), piece_progress::waiting);
     open.results.resize(open.progress.size());
-    open.is_beyond_share = detail::would_be_beyond_share(state, job, now);
-    instant end = detail::expected_end(state, job, open.is_beyond_share, now);
+    open.is_beyond_share = is_beyond_share;
+    instant end = detail::expected_end(state, job, is_beyond_share, now);
     state.jobs.emplace(job.id, std::move(open));
-    if (state.upstreams.empty()) {
-        reject_job(state, job.id, pieces_verdict::no_upstream, now, out);
-        return;
-    }
     const bool can_be_on_time = end <= job.soft_deadline;
     if (can_be_on_time) {
         detail::record_arrival(state, job, now);
--- a/src/packing/tests/packer_tests.cpp
+++ b/src/packing/tests/packer_tests.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <ctime>
 #include <deque>
+#include <limits>
 
 #include <CppUTest/TestHarness.h>
 
@@ -555,3 +556,37 @@
     LONGS_EQUAL(1, all_of<release_results>(after).size());
     LONGS_EQUAL(1, all_of<make_call>(after).size());
 }
+
+// Guards against memory that one job takes in proportion to a number that a peer sent.
+TEST(packer, a_job_with_more_pieces_than_the_pool_can_make_is_rejected_before_it_takes_memory) {
+    for (const int pieces : {20'000, 30'000'000, std::numeric_limits<int>::max()}) {
+        // GIVEN a packer with a job in progress
+        packer state = make_packer({make_upstream("u1"), make_upstream("u2")});
+        const auto calls = all_of<make_call>(reduce(state, job_submitted{make_job(1, 2)}, start));
+        // WHEN a job with far too many pieces is submitted
+        const milliseconds before = processor_time();
+        const auto effects = reduce(state, job_submitted{make_job(2, pieces)}, start);
+        // THEN it is rejected at once and leaves nothing behind
+        const auto rejected = all_of<job_rejected>(effects);
+        LONGS_EQUAL(1, rejected.size());
+        CHECK_TRUE(rejected.at(0).why == pieces_verdict::overloaded);
+        LONGS_EQUAL(1, state.jobs.size());
+        CHECK_TRUE(processor_time() - before < 20ms);
+        // AND the other job is completed
+        LONGS_EQUAL(1,
+                    all_of<job_completed>(complete_call(state, calls.at(0), start + 200ms)).size());
+    }
+}
+
+// Guards against sound jobs that the bound refuses.
+TEST(packer, a_job_with_as_many_pieces_as_the_pool_can_make_is_accepted) {
+    // GIVEN two idle upstreams, whose full calls take 278 ms
+    packer state = make_packer({make_upstream("u1"), make_upstream("u2")});
+    // WHEN a job is submitted that takes them 4 s of its 5 s
+    stage_job job = make_job(1, 2 * 14 * 8);
+    job.soft_deadline = job.hard_deadline;
+    const auto effects = reduce(state, job_submitted{job}, start);
+    // THEN it is begun
+    LONGS_EQUAL(0, all_of<job_rejected>(effects).size());
+    LONGS_EQUAL(2, all_of<make_call>(effects).size());
+}
