--- a/src/packing/packing_agent.cpp
+++ b/src/packing/packing_agent.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/roster/roster.h"
 #include "packing/internal/agent.h"
+#include "types/numeric.h"
 #include "types/overloaded.h"
 
 #include <algorithm>
@@ -174,6 +175,10 @@
 //! A reported wait is ignored at this age: about two calls have ended since.
 constexpr milliseconds max_wait_report_age{600};
 
+//! Largest result of a piece that is expected, in bytes, so that the sum of a job's results doesn't
+//! overflow.
+constexpr std::uint64_t max_result_bytes = 1'000'000'000'000;
+
 //! True if this process can run packers: it has the configuration and the list of upstreams.
 bool can_run_packers(const packing_agent& state) {
     return state.view && state.view->config && state.view->upstreams_known;
@@ -189,9 +194,9 @@
     if (!message.inputs.empty()) {
         job.inputs = std::make_shared<const std::vector<std::string>>(message.inputs);
     }
-    job.result_bytes = message.result_bytes;
-    job.soft_deadline = now + message.aim_in;
-    job.hard_deadline = now + message.needed_in;
+    job.result_bytes = std::min(message.result_bytes, max_result_bytes);
+    job.soft_deadline = now + std::clamp(message.aim_in, -max_time, max_time);
+    job.hard_deadline = now + std::clamp(message.needed_in, -max_time, max_time);
     job.priority = message.priority;
     job.depth = message.depth;
     job.zone = message.zone;
