--- a/src/serving/stage_graph.cpp
+++ b/src/serving/stage_graph.cpp
@@ -16,25 +16,53 @@
     return stage.state == stage_state::completed || stage.pieces == 0;
 }
 
-double longest_path_after(const stage_graph& graph, std::size_t stage,
-                          const stage_cost_function& cost) {
-    double longest = 0;
+namespace {
+
+//! Cost of the most expensive path from each stage to the end, including the stage.
+std::vector<double> longest_paths_from(const stage_graph& graph, const stage_cost_function& cost) {
+    std::vector<double> longest(graph.stages.size());
     // A stage depends only on stages with a lower index.
-    for (std::size_t later = stage + 1; later < graph.stages.size(); ++later) {
-        if (depends_on(graph.stages[later], stage)) {
-            longest = std::max(longest,
-                               longest_path_after(graph, later, cost) + cost(graph.stages[later]));
+    for (std::size_t later = graph.stages.size(); later-- > 0;) {
+        longest[later] += cost(graph.stages[later]);
+        for (const std::size_t earlier : graph.stages[later].after) {
+            longest[earlier] = std::max(longest[earlier], longest[later]);
         }
     }
     return longest;
 }
 
-double longest_path(const stage_graph& graph, const stage_cost_function& cost) {
-    double longest = 0;
-    for (std::size_t i = 0; i < graph.stages.size(); ++i) {
-        longest = std::max(longest, longest_path_after(graph, i, cost) + cost(graph.stages[i]));
+}  // namespace
+
+bool is_valid_graph(std::span<const route_stage> stages) {
+    if (stages.size() > max_route_stages) {
+        return false;
     }
-    return longest;
+    // Each pass marks the stages whose inputs are marked; stages on a cycle never are.
+    std::vector<bool> is_reached(stages.size());
+    std::size_t reached = 0;
+    for (std::size_t before = stages.size() + 1; reached != before;) {
+        before = reached;
+        for (std::size_t i = 0; i < stages.size(); ++i) {
+            const bool has_inputs = std::ranges::all_of(stages[i].after, [&](std::size_t earlier) {
+                return earlier < stages.size() && is_reached[earlier];
+            });
+            if (has_inputs && !is_reached[i]) {
+                is_reached[i] = true;
+                ++reached;
+            }
+        }
+    }
+    return reached == stages.size();
+}
+
+double longest_path_after(const stage_graph& graph, std::size_t stage,
+                          const stage_cost_function& cost) {
+    return longest_paths_from(graph, cost).at(stage) - cost(graph.stages[stage]);
+}
+
+double longest_path(const stage_graph& graph, const stage_cost_function& cost) {
+    const auto longest = longest_paths_from(graph, cost);
+    return longest.empty() ? 0 : std::ranges::max(longest);
 }
 
 namespace {
@@ -189,11 +217,13 @@
 }
 
 int depth_of(const stage_graph& graph, std::size_t stage) {
-    int deepest = 0;
-    for (const std::size_t earlier : graph.stages[stage].after) {
-        deepest = std::max(deepest, depth_of(graph, earlier) + 1);
+    std::vector<int> depths(graph.stages.size());
+    for (std::size_t i = 0; i <= stage; ++i) {
+        for (const std::size_t earlier : graph.stages[i].after) {
+            depths[i] = std::max(depths[i], depths[earlier] + 1);
+        }
     }
-    return deepest;
+    return depths[stage];
 }
 
 }  // namespace cyclamenmount
--- a/src/serving/stage_graph.h
+++ b/src/serving/stage_graph.h
@@ -32,6 +32,12 @@
     int restarts{0};                  //!< times the graph was restarted after a lost result
 };
 
+//! Stages that a route may have.
+inline constexpr std::size_t max_route_stages = 64;
+
+//! True if no stage depends on itself or on one that doesn't exist, and there aren't too many.
+bool is_valid_graph(std::span<const route_stage> stages);
+
 //! Creates the graph of a request; `pieces` holds the number of pieces of each stage of the route.
 stage_graph make_stage_graph(const route& from, std::span<const int> pieces);
 
--- a/src/serving/tests/stage_graph_tests.cpp
+++ b/src/serving/tests/stage_graph_tests.cpp
@@ -138,3 +138,38 @@
     CHECK_TRUE(results_deadline(make_stage_graph(make_route(), std::vector<int>{1, 1, 1, 1}), 0,
                                 config) == instant::max());
 }
+
+// Guards against a configuration whose stages make each request walk all paths, or read beyond
+// them.
+TEST(stage_graph, stages_are_valid_only_if_they_can_be_ordered) {
+    const auto make_stages = [](const std::vector<std::vector<std::size_t>>& after) {
+        std::vector<route_stage> stages(after.size());
+        for (std::size_t i = 0; i < after.size(); ++i) {
+            stages[i].after = after[i];
+        }
+        return stages;
+    };
+    CHECK_TRUE(is_valid_graph({}));
+    CHECK_TRUE(is_valid_graph(make_stages({{}, {0}, {0, 1}})));
+    CHECK_TRUE(is_valid_graph(make_stages({{1}, {}})));
+    CHECK_FALSE(is_valid_graph(make_stages({{0}})));
+    CHECK_FALSE(is_valid_graph(make_stages({{1}, {0}})));
+    CHECK_FALSE(is_valid_graph(make_stages({{}, {2}})));
+    CHECK_FALSE(is_valid_graph(make_stages({{}, {static_cast<std::size_t>(-1)}})));
+    CHECK_FALSE(is_valid_graph(std::vector<route_stage>(max_route_stages + 1)));
+    // WHEN each of the most stages depends on all before it
+    route dense;
+    dense.stages.resize(max_route_stages);
+    for (std::size_t i = 0; i < dense.stages.size(); ++i) {
+        for (std::size_t earlier = 0; earlier < i; ++earlier) {
+            dense.stages[i].after.push_back(earlier);
+        }
+    }
+    CHECK_TRUE(is_valid_graph(dense.stages));
+    const stage_graph graph = make_stage_graph(dense, std::vector<int>(max_route_stages, 1));
+    // THEN its paths are known in no time
+    const auto one = [](const graph_stage& /*stage*/) { return 1.0; };
+    DOUBLES_EQUAL(64, longest_path(graph, one), 0.01);
+    DOUBLES_EQUAL(63, longest_path_after(graph, 0, one), 0.01);
+    LONGS_EQUAL(63, depth_of(graph, 63));
+}
