--- a/src/packing/handover.cpp
+++ b/src/packing/handover.cpp
@@ -11,9 +11,6 @@
 //! process often is ready soon after, and a job sent too early costs one round trip.
 constexpr milliseconds first_not_ready_pause{200};
 constexpr milliseconds max_not_ready_pause{2500};
-//! A job fails once this many packer instances were lost while they had it: it may be what ends
-//! them.
-constexpr int max_lost_instances = 2;
 //! Age up to which a release is sent again: longer than the time in which the loss of a packer
 //! instance is detected.
 constexpr milliseconds release_memory{1500};
@@ -29,12 +26,6 @@
            (found->second.is_unresponsive || now < found->second.not_ready_until);
 }
 
-//! True if the process at the address has refused jobs, so that it has none.
-bool is_not_ready(const packing_agent& state, const std::string& address, instant now) {
-    const auto found = state.peers.find(address);
-    return found != state.peers.end() && now < found->second.not_ready_until;
-}
-
 //! False if the process is known to be at another address: it replied to a job that was submitted
 //! elsewhere since.
 bool may_be_at(const packing_agent& state, const instance_id& process, const std::string& address) {
@@ -68,19 +59,9 @@
     for (const std::uint64_t number : reassigned) {
         // Cancelled, since a packer instance that was only slow would compute pieces that no
         // request uses.
-        outstanding_job& outstanding = state.outstanding.at(number);
+        const outstanding_job& outstanding = state.outstanding.at(number);
         out.push_back(
             make_message_to(outstanding.assigned_address, pieces_cancel{outstanding.pool, number}));
-        const bool may_have_ended_it = !is_not_ready(state, outstanding.assigned_address, now);
-        outstanding.lost_instances += may_have_ended_it ? 1 : 0;
-        if (outstanding.lost_instances >= max_lost_instances) {
-            state.outstanding.erase(number);
-            pieces_reply reply;
-            reply.number = number;
-            reply.verdict = pieces_verdict::failed;
-            out.emplace_back(std::in_place_type<job_ended>, job_ended{number, std::move(reply)});
-            continue;
-        }
         assign_job(state, number, now, out);
     }
 }
--- a/src/packing/packing_agent.h
+++ b/src/packing/packing_agent.h
@@ -136,7 +136,6 @@
     std::string assigned_address;
     instant submitted_at{};
     bool is_withdrawn{false};  //!< asked back from the assigned packer instance
-    int lost_instances{0};     //!< packer instances that were lost while they had the job
 };
 
 //! A release that was sent to a packer instance, which may end before it carries it out.
