--- a/src/store_sync/list_progress.h
+++ b/src/store_sync/list_progress.h
@@ -15,9 +15,9 @@
 
 namespace cyclamenmount {
 
-//! Bounds of a list. Beyond them it is given up.
+//! Bounds of a list. One that exceeds them has failed.
 struct list_bounds {
-    std::size_t max_bytes{0};  //!< of the objects that are kept
+    std::size_t max_bytes{0};  //!< total size of the objects kept from all pages
     int max_pages{2000};
 };
 
@@ -42,8 +42,8 @@
 enum class list_step {
     next_page,  //!< read the page after `list_progress::after`
     complete,
-    repeated,   //!< failed: the store would give a page again
-    nameless,   //!< failed: no name on the page can be used to continue
+    repeated,   //!< failed: a page leads back to a position read before
+    nameless,   //!< failed: more pages exist, but this one has no name
     too_large,  //!< failed: beyond the bounds
 };
 
--- a/src/store_sync/tests/list_progress_tests.cpp
+++ b/src/store_sync/tests/list_progress_tests.cpp
@@ -43,7 +43,7 @@
     list_progress state;
     CHECK_TRUE(reduce(state, readable_page("b"), bounds) == list_step::next_page);
     CHECK_TRUE(reduce(state, readable_page("b"), bounds) == list_step::repeated);
-    // Pages that take turns don't go on either.
+    // Two pages that alternate don't lead to an end either.
     list_progress other;
     CHECK_TRUE(reduce(other, readable_page("b"), bounds) == list_step::next_page);
     CHECK_TRUE(reduce(other, readable_page("c"), bounds) == list_step::next_page);
